Set down the shape: core types, rings, timer service and the ownership decisions

Cause: the project starts here; its first promise is one owner for each key. Change: the root package with its types and interfaces, bounded rings, the timer service, and pure ownership decisions for a group of servers (keeper, deputy, leases counted from marks, moves, take-over with and without the store) under a simulated clock. Before and after: nothing ran before.

--- /dev/null
+++ b/pkg/oriole/oriolering/ring_test.go
@@ -0,0 +1,42 @@
+package oriolering_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolering"
+)
+
+func ExampleRing_Offer() {
+	ring := oriolering.New[int](1)
+	fmt.Println(ring.Offer(1), ring.Offer(2), ring.Refused())
+	// Output: true false 1
+}
+
+func TestTakeKeepsOrder(t *testing.T) {
+	is := is.New(t)
+	ring := oriolering.New[int](3)
+	for i := range 3 {
+		is.True(ring.Offer(i))
+	}
+	for i := range 3 {
+		got, err := ring.Take(context.Background())
+		is.NoErr(err)
+		is.Equal(got, i)
+	}
+}
+
+func TestWaitsEndWithContext(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	ring := oriolering.New[int](1)
+	_, err := ring.Take(ctx)
+	is.True(err != nil) // an empty ring must not return an item
+	is.True(ring.Offer(1))
+	is.True(ring.Put(ctx, 2) != nil) // a full ring must not take an item
+	is.Equal(ring.Len(), 1)
+}
--- /dev/null
+++ b/pkg/oriole/orioletimer/timer.go
@@ -0,0 +1,132 @@
+// Package orioletimer holds the timer service that the parts of a gateway
+// subscribe to, and a manual clock for tests.
+package orioletimer
+
+import (
+	"container/heap"
+	"context"
+	"sync"
+	"time"
+)
+
+// Service implements oriole.Timers over the real clock. One goroutine, Serve,
+// sends all ticks.
+type Service struct {
+	mu    sync.Mutex
+	queue subscriptions
+	wake  chan struct{}
+}
+
+// New returns a timer service; ticks flow while Serve runs.
+func New() *Service {
+	return &Service{wake: make(chan struct{}, 1)}
+}
+
+// Now returns the current time with its monotonic reading.
+func (s *Service) Now() time.Time { return time.Now() }
+
+// Subscribe implements oriole.Timers. It panics unless interval is above 0.
+func (s *Service) Subscribe(interval time.Duration) (ticks <-chan time.Time, stop func()) {
+	if interval <= 0 {
+		panic("orioletimer: interval must be above 0")
+	}
+	sub := &subscription{
+		interval: interval,
+		due:      time.Now().Add(interval),
+		ticks:    make(chan time.Time, 1),
+	}
+	s.mu.Lock()
+	heap.Push(&s.queue, sub)
+	s.mu.Unlock()
+	s.notify()
+	return sub.ticks, func() { s.remove(sub) }
+}
+
+// Serve sends ticks until ctx is done.
+func (s *Service) Serve(ctx context.Context) error {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		timer.Reset(s.fire(time.Now()))
+		select {
+		case <-timer.C:
+		case <-s.wake:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// fire sends every due tick and returns the time until the next one.
+func (s *Service) fire(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.queue) > 0 && !s.queue[0].due.After(now) {
+		s.queue[0].send(now)
+		heap.Fix(&s.queue, 0)
+	}
+	if len(s.queue) == 0 {
+		return time.Hour
+	}
+	return s.queue[0].due.Sub(now)
+}
+
+func (s *Service) remove(sub *subscription) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sub.index >= 0 {
+		heap.Remove(&s.queue, sub.index)
+	}
+}
+
+func (s *Service) notify() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+type subscription struct {
+	interval time.Duration
+	due      time.Time
+	ticks    chan time.Time
+	index    int
+}
+
+// send skips the ticks that were missed, so that a paused process does not
+// catch up with a burst.
+func (sub *subscription) send(now time.Time) {
+	select {
+	case sub.ticks <- now:
+	default:
+	}
+	sub.due = sub.due.Add(sub.interval)
+	if sub.due.Before(now) {
+		sub.due = now.Add(sub.interval)
+	}
+}
+
+type subscriptions []*subscription
+
+func (q subscriptions) Len() int           { return len(q) }
+func (q subscriptions) Less(i, j int) bool { return q[i].due.Before(q[j].due) }
+
+func (q subscriptions) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index = i
+	q[j].index = j
+}
+
+func (q *subscriptions) Push(x any) {
+	sub := x.(*subscription)
+	sub.index = len(*q)
+	*q = append(*q, sub)
+}
+
+func (q *subscriptions) Pop() any {
+	last := len(*q) - 1
+	sub := (*q)[last]
+	sub.index = -1
+	*q = (*q)[:last]
+	return sub
+}
--- /dev/null
+++ b/pkg/oriole/request.go
@@ -0,0 +1,104 @@
+package oriole
+
+import (
+	"net/http"
+	"time"
+)
+
+// Outcome says what is known of a request's run on an upstream.
+type Outcome int
+
+// The outcomes of a request.
+const (
+	// OutcomeUnknown means that the request may have run.
+	OutcomeUnknown Outcome = iota
+	// OutcomeAnswered means that the whole answer is at hand.
+	OutcomeAnswered
+	// OutcomeNotRun means that the request has not run and will not run.
+	OutcomeNotRun
+)
+
+var outcomeNames = [...]string{"unknown", "answered", "not-run"}
+
+// String returns the outcome as callers see it in a header.
+func (o Outcome) String() string {
+	if o < 0 || int(o) >= len(outcomeNames) {
+		return outcomeNames[OutcomeUnknown]
+	}
+	return outcomeNames[o]
+}
+
+// Reason says why a request was not answered.
+type Reason int
+
+// The reasons for an outcome other than answered.
+const (
+	ReasonNone Reason = iota
+	ReasonQueueFull
+	ReasonDeadline
+	ReasonNoOwner
+	ReasonNotKeeper
+	ReasonShed
+	ReasonFenced
+	ReasonConnection
+	ReasonBadAnswer
+	ReasonCrash
+	ReasonCancelled
+	ReasonRepeat
+	ReasonShutdown
+	ReasonTooLarge
+	reasonCount
+)
+
+var reasonNames = [...]string{
+	"none", "queue-full", "deadline", "no-owner", "not-keeper", "shed",
+	"fenced", "connection", "bad-answer", "crash", "cancelled", "repeat",
+	"shutdown", "too-large",
+}
+
+// String returns the reason as callers see it in a header.
+func (r Reason) String() string {
+	if r < 0 || r >= reasonCount {
+		return "none"
+	}
+	return reasonNames[r]
+}
+
+// Request is one caller's request, whatever front end it came by.
+type Request struct {
+	ID      string
+	Service ServiceName
+	Key     string
+	Slice   Slice
+	Method  string
+	// Target is the path and query to send to the server.
+	Target string
+	Header http.Header
+	Body   []byte
+	// Idempotent says that running it twice does no harm.
+	Idempotent bool
+	// Token is the caller's idempotency key, or empty.
+	Token    string
+	Deadline time.Time
+}
+
+// Answer is the result of a Request.
+type Answer struct {
+	Outcome Outcome
+	Reason  Reason
+	Status  int
+	Header  http.Header
+	Body    []byte
+	// Server is the upstream that was asked last, or empty.
+	Server ServerID
+}
+
+// Refuse returns the answer for a request that has not run.
+func Refuse(reason Reason) Answer {
+	return Answer{Outcome: OutcomeNotRun, Reason: reason}
+}
+
+// Lost returns the answer for a request that may have run.
+func Lost(reason Reason) Answer {
+	return Answer{Outcome: OutcomeUnknown, Reason: reason}
+}
