Add the thin whole path: gateways, stand-ins, judge and demo

Cause: nothing could be run yet. Change: a request for a stall key enters a gateway over HTTP, is forwarded over WebSocket and CBOR to the keeper of its group, waits in a bounded queue, and runs on the one server that holds a fenced lease; the lease's record is a conditional update in the object API stand-in. Settings, the demo and its judge come with it. The limit of a cold server rose after 8 runs that looked normal only because all servers were cold. Conclusion: evidence of warmth needs a baseline from a warm server. The falls that are left come from keepers that change during the start; that is next.

--- /dev/null
+++ b/internal/orioledemo/faults.go
@@ -0,0 +1,187 @@
+package orioledemo
+
+import (
+	"context"
+	"time"
+
+	"github.com/orioleswitch/orioleswitch/internal/oriolestandin"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+)
+
+// fault is something that goes wrong during a run. It begins and ends at
+// shares of the run's duration.
+type fault struct {
+	from, to float64
+	begin    func(f *faultRun)
+	end      func(f *faultRun)
+}
+
+// faultRun is one fault in a run.
+type faultRun struct {
+	ctx      context.Context
+	system   *system
+	load     *load
+	length   time.Duration
+	members  []*member
+	upstream *oriolestandin.Upstream
+}
+
+// Shares of the run's duration at which faults begin and end.
+const (
+	faultFrom = 0.3
+	faultTo   = 0.6
+)
+
+func (f fault) happen(ctx context.Context, s *system, l *load, duration time.Duration) {
+	run := &faultRun{ctx: ctx, system: s, load: l, length: time.Duration(float64(duration) * (f.to - f.from))}
+	if !wait(ctx, time.Duration(float64(duration)*f.from)) {
+		return
+	}
+	f.begin(run)
+	if f.end == nil {
+		return
+	}
+	// The end comes even if the run is over, so that all can be cleaned up.
+	wait(ctx, run.length)
+	f.end(run)
+}
+
+// wait reports whether d passed before ctx was done.
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// lasting returns a fault with the usual times.
+func lasting(begin, end func(f *faultRun)) fault {
+	return fault{from: faultFrom, to: faultTo, begin: begin, end: end}
+}
+
+// watchedGroup is the group whose keeper and servers faults are aimed at.
+const watchedGroup = oriole.GroupID("stall-board.0")
+
+var faults = map[string]fault{
+	"server-loss":              lasting(loseServer, restoreServer),
+	"server-freeze":            lasting(freezeServer, thawServer),
+	"gateway-loss":             lasting(loseKeeper, nil),
+	"gateway-and-server-loss":  lasting(func(f *faultRun) { loseServer(f); loseKeeper(f) }, restoreServer),
+	"gateway-pause":            lasting(pauseKeeper, resumeKeeper),
+	"zone-loss":                lasting(loseZone, restoreZone),
+	"store-outage":             lasting(stopStore, startStore),
+	"store-outage-server-loss": lasting(func(f *faultRun) { stopStore(f); wait(f.ctx, f.length/4); loseServer(f) }, func(f *faultRun) { startStore(f); restoreServer(f) }),
+	"lost-store-answer":        lasting(loseAnswers, startStore),
+	"partition":                lasting(partition, heal),
+}
+
+// keeper returns the gateway in charge of the watched group.
+func (f *faultRun) keeper() *member {
+	for _, m := range f.system.live() {
+		if m.gateway.Keeps(watchedGroup) {
+			return m
+		}
+	}
+	return f.system.live()[0]
+}
+
+// deputy returns the deputy of the watched group.
+func (f *faultRun) deputy() *member {
+	id := f.keeper().gateway.Deputy(watchedGroup)
+	for _, m := range f.system.live() {
+		if m.id == id {
+			return m
+		}
+	}
+	return nil
+}
+
+func loseServer(f *faultRun) {
+	f.upstream = f.system.upstreams[0]
+	f.upstream.Stop()
+}
+
+func restoreServer(f *faultRun) { _ = f.upstream.Start() }
+
+func freezeServer(f *faultRun) {
+	f.upstream = f.system.upstreams[0]
+	f.upstream.Freeze()
+}
+
+func thawServer(f *faultRun) { f.upstream.Thaw() }
+
+func loseKeeper(f *faultRun) { f.system.kill(f.keeper()) }
+
+func pauseKeeper(f *faultRun) {
+	m := f.keeper()
+	f.members = []*member{m}
+	m.gate.hold()
+}
+
+func resumeKeeper(f *faultRun) {
+	for _, m := range f.members {
+		m.gate.release()
+	}
+}
+
+// lostZone is the availability zone that is lost or taken out.
+const lostZone = oriole.ZoneName("bridgewater")
+
+func loseZone(f *faultRun) {
+	for _, u := range f.system.upstreams {
+		if u.Zone() == lostZone {
+			u.Stop()
+		}
+	}
+	for _, m := range f.system.live() {
+		if m.zone == lostZone {
+			f.members = append(f.members, m)
+			go f.system.kill(m)
+		}
+	}
+}
+
+func restoreZone(f *faultRun) {
+	for _, u := range f.system.upstreams {
+		if u.Zone() == lostZone {
+			_ = u.Start()
+		}
+	}
+	for range f.members {
+		_, _ = f.system.addGateway(f.ctx, lostZone)
+	}
+}
+
+func stopStore(f *faultRun) {
+	f.system.platform.SetFaults(oriolestandin.PlatformFaults{Outage: true})
+}
+
+func startStore(f *faultRun) { f.system.platform.SetFaults(oriolestandin.PlatformFaults{}) }
+
+// loseAnswers loses the answers of the store's writes while a server's slices
+// move.
+func loseAnswers(f *faultRun) {
+	f.system.platform.SetFaults(oriolestandin.PlatformFaults{LoseAnswers: true})
+	f.upstream = f.system.upstreams[0]
+	f.upstream.Crash(false)
+}
+
+// partition cuts the keeper off from its deputy and from half of the others.
+func partition(f *faultRun) {
+	keeper, deputy := f.keeper(), f.deputy()
+	f.members = []*member{keeper}
+	for i, m := range f.system.live() {
+		if m == deputy || (i%2 == 0 && m != keeper) {
+			f.members = append(f.members, m)
+			f.system.setCut(keeper.id, m.id, true)
+		}
+	}
+}
+
+func heal(f *faultRun) {
+	for _, m := range f.members[1:] {
+		f.system.setCut(f.members[0].id, m.id, false)
+	}
+}
--- /dev/null
+++ b/internal/orioledemo/system.go
@@ -0,0 +1,337 @@
+// Package orioledemo runs the stand-ins and several gateways in one process,
+// joined over loopback sockets, under load and faults, and judges them.
+package orioledemo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/pkg/errors"
+
+	"github.com/orioleswitch/orioleswitch/internal/oriolegateway"
+	"github.com/orioleswitch/orioleswitch/internal/oriolejudge"
+	"github.com/orioleswitch/orioleswitch/internal/oriolestandin"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleconfig"
+)
+
+// listLag is how late the platform's list of VMs is.
+const listLag = 500 * time.Millisecond
+
+// zones are the availability zones of Derwent.
+var zones = []oriole.ZoneName{"new-norfolk", "bridgewater", "granton", "hobart-wharf"}
+
+// Sizes of the demo, those of the brief but for the gateways.
+const (
+	stallUpstreams = 25
+	stallGroups    = 5
+	bargeUpstreams = 8
+	bargeGroups    = 2
+	gatewayCount   = 8
+)
+
+// demoSecret is the secret of the demo's gateways; they listen on loopback
+// only.
+const demoSecret = "demo-secret-on-loopback"
+
+// system is the whole demo: platform, upstreams and gateways.
+type system struct {
+	seed      uint64
+	judge     *oriolejudge.Judge
+	platform  *oriolestandin.Platform
+	settings  orioleconfig.Settings
+	upstreams []*oriolestandin.Upstream
+	logger    log.Interface
+	cleanups  []func()
+
+	mu       sync.Mutex
+	gateways []*member
+	started  int
+	cut      map[[2]oriole.GatewayID]bool
+}
+
+// member is one gateway of the demo.
+type member struct {
+	id      oriole.GatewayID
+	zone    oriole.ZoneName
+	gateway *oriolegateway.Gateway
+	gate    *gate
+	stop    context.CancelFunc
+	ended   chan struct{}
+	ready   bool
+	gone    bool
+}
+
+// gate pauses all duties of a gateway.
+type gate struct {
+	mu   sync.Mutex
+	held chan struct{}
+}
+
+// Wait implements oriole.Gate.
+func (g *gate) Wait(ctx context.Context) {
+	g.mu.Lock()
+	held := g.held
+	g.mu.Unlock()
+	if held == nil {
+		return
+	}
+	select {
+	case <-held:
+	case <-ctx.Done():
+	}
+}
+
+func (g *gate) hold() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.held == nil {
+		g.held = make(chan struct{})
+	}
+}
+
+func (g *gate) release() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.held != nil {
+		close(g.held)
+		g.held = nil
+	}
+}
+
+// newSystem starts the platform, the upstreams and the gateways.
+func newSystem(ctx context.Context, seed uint64, logger log.Interface) (s *system, cleanup func(), err error) {
+	defer func() { err = errors.Wrap(err, "starting the demo") }()
+	s = &system{
+		seed:   seed,
+		judge:  oriolejudge.New(),
+		logger: logger,
+		cut:    make(map[[2]oriole.GatewayID]bool),
+	}
+	cleanup = func() {
+		for i := len(s.cleanups) - 1; i >= 0; i-- {
+			s.cleanups[i]()
+		}
+	}
+	if err := s.start(ctx); err != nil {
+		cleanup()
+		return nil, nil, err
+	}
+	return s, cleanup, nil
+}
+
+func (s *system) start(ctx context.Context) error {
+	s.platform = oriolestandin.NewPlatform(listLag)
+	addr, err := s.serve(s.platform)
+	if err != nil {
+		return err
+	}
+	s.settings = orioleconfig.Default()
+	s.settings.Name = "derwent"
+	s.settings.Zones = zones
+	s.settings.Platform = addr
+	s.settings.Secret = demoSecret
+	s.settings.Services = map[oriole.ServiceName]orioleconfig.Service{}
+	if err := s.addService("stall-board", stallUpstreams, stallGroups, true); err != nil {
+		return err
+	}
+	if err := s.addService("bargemaster", bargeUpstreams, bargeGroups, false); err != nil {
+		return err
+	}
+	for i := range gatewayCount {
+		if _, err := s.addGateway(ctx, zones[i%len(zones)]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// serve runs a handler on a loopback port.
+func (s *system) serve(handler http.Handler) (netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	s.cleanups = append(s.cleanups, func() { _ = server.Close() })
+	return listener.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+func (s *system) addService(name oriole.ServiceName, upstreams, groups int, divided bool) error {
+	service := orioleconfig.Service{
+		Divided:    divided,
+		Groups:     groups,
+		Fenced:     true,
+		Idempotent: []string{"GET", "HEAD"},
+		Deadline:   orioleconfig.Span(2 * time.Second),
+		Slots:      2,
+		Cold:       1,
+		Conns:      120,
+		Pick:       "expected",
+	}
+	if divided {
+		service.Slices = 48 * groups
+	}
+	for i := range upstreams {
+		cfg := oriolestandin.DefaultUpstreamConfig()
+		cfg.Service = name
+		cfg.Divided = divided
+		cfg.Seed = s.seed + uint64(len(s.upstreams))
+		cfg.Upstream = oriole.Upstream{
+			ID:   oriole.ServerID(fmt.Sprintf("%s-%02d", name, i+1)),
+			Zone: zones[i%len(zones)],
+			Addr: netip.MustParseAddrPort("127.0.0.1:0"),
+		}
+		u, stop, err := oriolestandin.NewUpstream(cfg, s.judge)
+		if err != nil {
+			return err
+		}
+		s.cleanups = append(s.cleanups, stop)
+		s.judge.Watch(u)
+		s.upstreams = append(s.upstreams, u)
+		service.Upstreams = append(service.Upstreams, orioleconfig.Upstream{Name: u.ID(), Zone: u.Zone(), Addr: u.Addr()})
+	}
+	s.settings.Services[name] = service
+	return nil
+}
+
+// addGateway starts one more gateway in the zone.
+func (s *system) addGateway(ctx context.Context, zone oriole.ZoneName) (*member, error) {
+	s.mu.Lock()
+	s.started++
+	number := s.started
+	s.mu.Unlock()
+	m := &member{
+		id:    oriole.GatewayID(fmt.Sprintf("%s-%d", zone, number)),
+		zone:  zone,
+		gate:  &gate{},
+		ended: make(chan struct{}),
+	}
+	settings := s.settings
+	settings.Zone = zone
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	vm := orioleconfig.VM{Name: string(m.id), Callers: loopback, Peers: loopback, Operators: loopback}
+	gateway, cleanup, err := oriolegateway.New(m.id, &settings, vm,
+		oriolegateway.WithGate(m.gate),
+		oriolegateway.WithPass(func(peer oriole.GatewayID) bool { return s.connected(m.id, peer) }),
+		oriolegateway.WithLogger(s.logger),
+		oriolegateway.WithSeed(s.seed+uint64(number)),
+	)
+	if err != nil {
+		return nil, err
+	}
+	m.gateway = gateway
+	ctx, m.stop = context.WithCancel(ctx)
+	go func() {
+		// The gateway ends with its context; why does not matter then.
+		_ = gateway.Serve(ctx)
+		cleanup()
+		close(m.ended)
+	}()
+	s.cleanups = append(s.cleanups, func() { s.kill(m) })
+	s.mu.Lock()
+	s.gateways = append(s.gateways, m)
+	s.mu.Unlock()
+	return m, nil
+}
+
+// kill ends a gateway at once, as the loss of its VM would.
+func (s *system) kill(m *member) {
+	s.mu.Lock()
+	m.gone = true
+	m.ready = false
+	s.mu.Unlock()
+	m.stop()
+	m.gate.release()
+	<-m.ended
+}
+
+func (s *system) connected(a, b oriole.GatewayID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.cut[[2]oriole.GatewayID{a, b}] && !s.cut[[2]oriole.GatewayID{b, a}]
+}
+
+// setCut cuts or joins two gateways.
+func (s *system) setCut(a, b oriole.GatewayID, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut[[2]oriole.GatewayID{a, b}] = cut
+}
+
+// live returns the gateways that have not ended.
+func (s *system) live() []*member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var live []*member
+	for _, m := range s.gateways {
+		if !m.gone {
+			live = append(live, m)
+		}
+	}
+	return live
+}
+
+// balance plays the platform's balancer: it asks every gateway whether it is
+// ready, until ctx is done.
+func (s *system) balance(ctx context.Context) {
+	const interval = 50 * time.Millisecond
+	client := &http.Client{Timeout: interval}
+	for ctx.Err() == nil {
+		for _, m := range s.live() {
+			go s.ask(ctx, client, m)
+		}
+		select {
+		case <-time.After(interval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (s *system) ask(ctx context.Context, client *http.Client, m *member) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.gateway.Self().Callers.String()+"/ready", nil)
+	if err != nil {
+		return
+	}
+	resp, err := client.Do(req)
+	ready := false
+	if err == nil {
+		_ = resp.Body.Close()
+		ready = resp.StatusCode == http.StatusOK
+	}
+	s.mu.Lock()
+	m.ready = ready && !m.gone
+	s.mu.Unlock()
+}
+
+// ready returns the gateways that take callers.
+func (s *system) ready() []*member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ready []*member
+	for _, m := range s.gateways {
+		if m.ready && !m.gone {
+			ready = append(ready, m)
+		}
+	}
+	return ready
+}
+
+// waitReady waits until all gateways take callers.
+func (s *system) waitReady(ctx context.Context, timeout time.Duration) error {
+	deadline := time.Now().Add(timeout)
+	for len(s.ready()) < len(s.live()) {
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return errors.Errorf("%d of %d gateways are ready after %v", len(s.ready()), len(s.live()), timeout)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/oriolegateway/oriolecontrol/control.go
@@ -0,0 +1,196 @@
+// Package oriolecontrol is the subtree that keeps a gateway in agreement with
+// the others: one duty runs the ownership decisions of all groups, others call
+// the store, give leases, and watch.
+package oriolecontrol
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/orioleswitch/orioleswitch/internal/oriolegateway/oriolesight"
+	"github.com/orioleswitch/orioleswitch/internal/oriolewire"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleconfig"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolegroup"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolering"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolespread"
+)
+
+// Sizes of the rings.
+const (
+	inputRing = 8192
+	storeRing = 256
+	grantRing = 4
+)
+
+// storeCallers is the number of calls to the store that may be under way.
+const storeCallers = 4
+
+// Intervals of the duties.
+const (
+	decideInterval = 10 * time.Millisecond
+	sightInterval  = 100 * time.Millisecond
+	pulseInterval  = 200 * time.Millisecond
+	memberInterval = time.Second
+	watchWait      = 2 * time.Second
+	callTimeout    = 150 * time.Millisecond
+)
+
+// watchersPerZone is the number of gateways of an availability zone that watch
+// the store and pass on what they see.
+const watchersPerZone = 2
+
+// moveBatch is the most slices of a group that a planned move takes at once.
+const moveBatch = 8
+
+// recordPrefix begins the names of the groups' objects in the store.
+const recordPrefix = "group/"
+
+// Network is what the subtree needs of the connections to peers.
+type Network interface {
+	Send(to oriole.GatewayID, frame *oriolewire.Frame) bool
+	Broadcast(frame *oriolewire.Frame)
+	SetMembers(members []oriole.Member)
+}
+
+// Config describes the subtree.
+type Config struct {
+	Self     oriole.Member
+	Settings *orioleconfig.Settings
+	Timers   oriole.Timers
+	Store    oriole.Store
+	Granter  func(oriole.ServiceName) oriole.Granter
+	Network  Network
+	// Route publishes the routing of a group; Busy tells whether requests run
+	// on a slice.
+	Route    func(oriole.GroupID, *oriole.Routing)
+	Busy     func(oriole.GroupID, int) bool
+	Timeline *oriolesight.Timeline
+	Metrics  *oriolesight.Metrics
+	Gate     oriole.Gate
+}
+
+// Control is the subtree. It implements suture.Service.
+type Control struct {
+	*suture.Supervisor
+	cfg    Config
+	groups []orioleconfig.Group
+	in     *oriolering.Ring[input]
+	store  *oriolering.Ring[storeCall]
+	views  atomic.Pointer[map[oriole.GroupID]oriole.View]
+	// changed is closed and replaced whenever a view changes.
+	changed  atomic.Pointer[chan struct{}]
+	watching atomic.Bool
+	leaving  atomic.Bool
+	free     atomic.Bool
+	storeUp  atomic.Bool
+}
+
+// input is one entry of the deciding duty's ring.
+type input struct {
+	from  oriole.GatewayID
+	frame *oriolewire.Frame
+	// event goes to the machine of the group, or to all machines if there is
+	// no group.
+	group   oriole.GroupID
+	event   oriolegroup.Event
+	members []oriole.Member
+	objects []oriole.Object
+	// connected names a peer to which the views of this gateway are news.
+	connected oriole.GatewayID
+	pulse     *pulse
+	out       *orioleconfig.Settings
+}
+
+// pulse is the result of asking the store whether it answers.
+type pulse struct{ up bool }
+
+// New returns the subtree.
+func New(cfg Config, spec suture.Spec) *Control {
+	c := &Control{
+		Supervisor: suture.New("control", spec),
+		cfg:        cfg,
+		groups:     cfg.Settings.Groups(),
+		in:         oriolering.New[input](inputRing),
+		store:      oriolering.New[storeCall](storeRing),
+	}
+	views := make(map[oriole.GroupID]oriole.View)
+	c.views.Store(&views)
+	changed := make(chan struct{})
+	c.changed.Store(&changed)
+	c.storeUp.Store(true)
+	c.Add(newDecider(c))
+	for range storeCallers {
+		c.Add(&storeDuty{control: c})
+	}
+	c.Add(&watchDuty{control: c})
+	c.Add(&pulseDuty{control: c})
+	c.Add(&memberDuty{control: c})
+	return c
+}
+
+// Received takes a frame of a peer.
+func (c *Control) Received(from oriole.GatewayID, frame *oriolewire.Frame) {
+	if !c.in.Offer(input{from: from, frame: frame}) {
+		c.cfg.Metrics.Add("control_ring_full", 1)
+	}
+}
+
+// Connected takes the news that a link with a peer has begun.
+func (c *Control) Connected(peer oriole.Member) {
+	c.in.Offer(input{connected: peer.ID})
+}
+
+// Suspect tells the group's machine that a server could not be reached.
+func (c *Control) Suspect(group oriole.GroupID, server int) {
+	c.in.Offer(input{group: group, event: oriolegroup.ServerSuspect{Server: server}})
+}
+
+// Apply takes settings that have come into force: which servers are out.
+func (c *Control) Apply(s *orioleconfig.Settings) {
+	c.in.Offer(input{out: s})
+}
+
+// Leave asks all machines to hand their duties over.
+func (c *Control) Leave() {
+	c.leaving.Store(true)
+	c.in.Offer(input{event: oriolegroup.Leave{}})
+}
+
+// Free reports whether this gateway has no duty left.
+func (c *Control) Free() bool { return c.free.Load() }
+
+// StoreUp reports whether the store answers, as far as is known.
+func (c *Control) StoreUp() bool { return c.storeUp.Load() }
+
+// View returns what is known of the group, and a channel that is closed at the
+// next change of any view.
+func (c *Control) View(group oriole.GroupID) (oriole.View, <-chan struct{}) {
+	changed := *c.changed.Load()
+	return (*c.views.Load())[group], changed
+}
+
+// machineConfig returns the configuration of the group's machine.
+func (c *Control) machineConfig(g orioleconfig.Group) oriolegroup.Config {
+	return oriolegroup.Config{
+		Self:     c.cfg.Self.ID,
+		Zone:     c.cfg.Self.Zone,
+		Group:    g.ID,
+		Servers:  g.Servers,
+		Slices:   g.Slices,
+		Fenced:   c.cfg.Settings.Services[g.Service].Fenced,
+		Timing:   c.cfg.Settings.Timing(g.Service),
+		Spreader: oriolespread.Even{},
+		Leveler:  oriolespread.Even{Level: true},
+		Batch:    moveBatch,
+	}
+}
+
+// post gives an event to the deciding duty; it waits for room, since the event
+// answers an effect and must not be lost.
+func (c *Control) post(ctx context.Context, group oriole.GroupID, event oriolegroup.Event) error {
+	return c.in.Put(ctx, input{group: group, event: event})
+}
--- /dev/null
+++ b/internal/oriolegateway/oriolework/group.go
@@ -0,0 +1,259 @@
+package oriolework
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleconfig"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolequeue"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolering"
+)
+
+// Sizes of the rings of one group.
+const (
+	arrivalRing = 4096
+	doneRing    = 1024
+)
+
+// queueTick is the interval at which a queue looks for requests that are late.
+const queueTick = 5 * time.Millisecond
+
+// arrival is what enters a group's ring: a request, or a fingerprint to blame.
+type arrival struct {
+	ctx   context.Context
+	job   *oriolequeue.Job
+	print oriolequeue.Fingerprint
+}
+
+// started is a request on its way to a server.
+type started struct {
+	ctx  context.Context
+	term oriole.Term
+	job  *oriolequeue.Job
+}
+
+// finished is the result of a request that was sent.
+type finished struct {
+	server int
+	job    *oriolequeue.Job
+	answer oriole.Answer
+}
+
+// group joins the duties of one group.
+type group struct {
+	cfg     Config
+	spec    orioleconfig.Group
+	slots   int
+	queue   *oriolequeue.Queue
+	routing atomic.Pointer[oriole.Routing]
+	status  atomic.Pointer[[]Status]
+	busy    []atomic.Int32
+	in      *oriolering.Ring[arrival]
+	done    *oriolering.Ring[finished]
+	senders []*oriolering.Ring[started]
+	kick    chan struct{}
+	started bool
+}
+
+func newGroup(cfg Config, spec orioleconfig.Group, picker oriole.Picker) *group {
+	g := &group{
+		cfg:   cfg,
+		spec:  spec,
+		slots: cfg.Settings.Services[spec.Service].Slots,
+		busy:  make([]atomic.Int32, max(spec.Slices, 1)),
+		in:    oriolering.New[arrival](arrivalRing),
+		done:  oriolering.New[finished](doneRing),
+		kick:  make(chan struct{}, 1),
+	}
+	g.routing.Store(&oriole.Routing{})
+	status := make([]Status, len(spec.Servers))
+	g.status.Store(&status)
+	for range spec.Servers {
+		g.senders = append(g.senders, oriolering.New[started](g.slots))
+	}
+	g.queue = oriolequeue.New(oriolequeue.Config{
+		Servers: len(spec.Servers),
+		Divided: spec.Slices > 0,
+		Limits:  cfg.Settings.QueueLimits(spec.Service),
+		Picker:  picker,
+	}, func(slice, delta int) { g.busy[slice].Add(int32(delta)) })
+	return g
+}
+
+// tree returns the supervisor of the group's duties.
+func (g *group) tree(spec suture.Spec) *suture.Supervisor {
+	tree := suture.New("group "+string(g.spec.ID), spec)
+	tree.Add(&queueDuty{group: g, contexts: make(map[*oriolequeue.Job]context.Context)})
+	runner := g.cfg.Runner(g.spec.Service)
+	for i := range g.spec.Servers {
+		for range g.slots {
+			tree.Add(&senderDuty{group: g, server: i, runner: runner})
+		}
+	}
+	return tree
+}
+
+func (g *group) wake() {
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+}
+
+// mayStart reports whether the routing in force still lets the request run on
+// the server.
+func (g *group) mayStart(server int, term oriole.Term, job *oriolequeue.Job) bool {
+	routing := g.routing.Load()
+	if routing.Term != term || !routing.Serves(server, g.cfg.Timers.Now()) {
+		return false
+	}
+	return g.spec.Slices == 0 || routing.Owner[job.Slice] == server
+}
+
+// queueDuty owns the group's queue.
+type queueDuty struct {
+	group    *group
+	contexts map[*oriolequeue.Job]context.Context
+	current  *oriole.Routing
+}
+
+func (d *queueDuty) String() string { return "queue " + string(d.group.spec.ID) }
+
+// Serve implements suture.Service.
+func (d *queueDuty) Serve(ctx context.Context) error {
+	g := d.group
+	ticks, stop := g.cfg.Timers.Subscribe(queueTick)
+	defer stop()
+	for {
+		select {
+		case a := <-g.in.Out():
+			g.cfg.Gate.Wait(ctx)
+			d.arrived(ctx, a)
+		case f := <-g.done.Out():
+			g.cfg.Gate.Wait(ctx)
+			d.finished(ctx, f)
+		case <-g.kick:
+			d.reroute(ctx)
+		case <-ticks:
+			g.cfg.Gate.Wait(ctx)
+			d.reroute(ctx)
+			d.carryOut(ctx, g.queue.Tick(g.cfg.Timers.Now()))
+			d.report()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (d *queueDuty) arrived(ctx context.Context, a arrival) {
+	d.reroute(ctx)
+	now := d.group.cfg.Timers.Now()
+	if a.job == nil {
+		d.group.queue.Blame(now, a.print)
+		return
+	}
+	reply := a.job.Reply
+	job := a.job
+	job.Reply = func(answer oriole.Answer) {
+		delete(d.contexts, job)
+		reply(answer)
+	}
+	d.contexts[job] = a.ctx
+	d.carryOut(ctx, d.group.queue.Arrive(now, job))
+}
+
+func (d *queueDuty) finished(ctx context.Context, f finished) {
+	d.reroute(ctx)
+	d.carryOut(ctx, d.group.queue.Done(d.group.cfg.Timers.Now(), f.server, f.job, f.answer))
+}
+
+// reroute takes in the newest routing.
+func (d *queueDuty) reroute(ctx context.Context) {
+	routing := d.group.routing.Load()
+	if routing == d.current {
+		return
+	}
+	d.current = routing
+	d.carryOut(ctx, d.group.queue.Route(d.group.cfg.Timers.Now(), routing))
+}
+
+func (d *queueDuty) carryOut(ctx context.Context, effects oriolequeue.Effects) {
+	g := d.group
+	for _, server := range effects.Suspects {
+		g.cfg.Suspect(g.spec.ID, server)
+	}
+	for _, print := range effects.Blamed {
+		g.cfg.Blame(g.spec.ID, print)
+	}
+	var refused []finished
+	for _, start := range effects.Starts {
+		// The slice counts as busy by now, so a move that begins after this
+		// check waits for the request to end.
+		ok := g.mayStart(start.Server, start.Term, start.Job)
+		if ok {
+			ok = g.senders[start.Server].Offer(started{ctx: d.contexts[start.Job], term: start.Term, job: start.Job})
+		}
+		if !ok {
+			refused = append(refused, finished{start.Server, start.Job, oriole.Refuse(oriole.ReasonFenced)})
+		}
+	}
+	for _, f := range refused {
+		if err := g.done.Put(ctx, f); err != nil {
+			return
+		}
+	}
+}
+
+// report publishes the state of the servers' queues.
+func (d *queueDuty) report() {
+	g := d.group
+	status := make([]Status, len(g.spec.Servers))
+	for i := range status {
+		status[i] = Status{Running: g.queue.Running(i), Limit: g.queue.Limit(i), Queued: g.queue.Queued(i)}
+	}
+	g.status.Store(&status)
+}
+
+// senderDuty is one slot of one server.
+type senderDuty struct {
+	group  *group
+	server int
+	runner oriole.Runner
+}
+
+func (d *senderDuty) String() string {
+	return "send to " + string(d.group.spec.Servers[d.server].ID)
+}
+
+// Serve implements suture.Service.
+func (d *senderDuty) Serve(ctx context.Context) error {
+	g := d.group
+	for {
+		next, err := g.senders[d.server].Take(ctx)
+		if err != nil {
+			return err
+		}
+		g.cfg.Gate.Wait(ctx)
+		answer := d.send(next)
+		g.cfg.Gate.Wait(ctx)
+		if err := g.done.Put(ctx, finished{d.server, next.job, answer}); err != nil {
+			return err
+		}
+	}
+}
+
+// send runs the request if the lease still covers it: the process may have
+// been paused since the queue decided.
+func (d *senderDuty) send(next started) oriole.Answer {
+	g := d.group
+	if !g.mayStart(d.server, next.term, next.job) {
+		return oriole.Refuse(oriole.ReasonFenced)
+	}
+	ctx, cancel := context.WithDeadline(next.ctx, next.job.Request.Deadline)
+	defer cancel()
+	return d.runner.Run(ctx, g.spec.Servers[d.server], next.term, next.job.Request)
+}
--- /dev/null
+++ b/pkg/oriole/orioleconfig/load.go
@@ -0,0 +1,261 @@
+package orioleconfig
+
+import (
+	"bytes"
+	_ "embed" // for the schema
+	"encoding/json"
+	"io"
+	"net/netip"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+	"github.com/pkg/errors"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+)
+
+// Schema is the JSON Schema of settings.
+//
+//go:embed base.schema.json
+var Schema []byte
+
+// Problem is one fault in a settings file.
+type Problem struct {
+	File  string
+	Field string
+	Rule  string
+}
+
+func (p Problem) String() string { return p.File + ": " + p.Field + ": " + p.Rule }
+
+// Problems is the error for settings with faults. It lists all of them.
+type Problems []Problem
+
+// Error implements error.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads a base file and an overlay, which may be empty, and returns the
+// checked settings. A fault in a file is returned as Problems.
+func Load(base, overlay string) (settings Settings, err error) {
+	baseData, err := os.ReadFile(base)
+	if err != nil {
+		return settings, errors.Wrap(err, "reading the base file")
+	}
+	if overlay == "" {
+		return Parse(base, baseData, "", nil)
+	}
+	overlayData, err := os.ReadFile(overlay)
+	if err != nil {
+		return settings, errors.Wrap(err, "reading the overlay")
+	}
+	return Parse(base, baseData, overlay, overlayData)
+}
+
+// Parse checks and merges the contents of a base file and an overlay; the names
+// appear in errors. A nil overlay is left out.
+func Parse(base string, baseData []byte, overlay string, overlayData []byte) (settings Settings, err error) {
+	problems := checkFile(base, baseData, false)
+	if overlayData != nil {
+		problems = append(problems, checkFile(overlay, overlayData, true)...)
+	}
+	if len(problems) > 0 {
+		return settings, problems
+	}
+	merged := baseData
+	if overlayData != nil {
+		if problems := checkOverlay(baseData, overlay, overlayData); len(problems) > 0 {
+			return settings, problems
+		}
+		merged, err = jsonpatch.MergePatch(baseData, overlayData)
+		if err != nil {
+			return settings, errors.Wrap(err, "merging the overlay into the base file")
+		}
+	}
+	name := base
+	if overlay != "" {
+		name = base + "+" + overlay
+	}
+	// The merged result must be whole as well: an overlay may have removed a
+	// field that the base file needs.
+	if problems := checkFile(name, merged, false); len(problems) > 0 {
+		return settings, problems
+	}
+	settings = Default()
+	if err := json.Unmarshal(merged, &settings); err != nil {
+		return settings, Problems{{File: name, Field: "/", Rule: err.Error()}}
+	}
+	for service, s := range settings.Services {
+		fillService(&s)
+		settings.Services[service] = s
+	}
+	if problems := checkSums(name, &settings); len(problems) > 0 {
+		return settings, problems
+	}
+	return settings, nil
+}
+
+// checkFile checks one file by itself. An overlay may leave out any field.
+func checkFile(file string, data []byte, partial bool) Problems {
+	if problem := checkSyntax(data); problem != nil {
+		problem.File = file
+		return Problems{*problem}
+	}
+	schema, err := compile(partial)
+	if err != nil {
+		return Problems{{File: file, Field: "/", Rule: err.Error()}}
+	}
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
+	if err != nil {
+		return Problems{{File: file, Field: "/", Rule: err.Error()}}
+	}
+	err = schema.Validate(value)
+	var invalid *jsonschema.ValidationError
+	if !errors.As(err, &invalid) {
+		return nil
+	}
+	problems := flatten(file, invalid, nil)
+	sort.Slice(problems, func(i, j int) bool { return problems[i].String() < problems[j].String() })
+	return problems
+}
+
+// flatten lists the innermost faults of a validation error.
+func flatten(file string, e *jsonschema.ValidationError, into Problems) Problems {
+	if len(e.Causes) == 0 {
+		field := "/" + strings.Join(e.InstanceLocation, "/")
+		message := e.Error()
+		if i := strings.LastIndex(message, "': "); i >= 0 {
+			message = message[i+3:]
+		}
+		return append(into, Problem{File: file, Field: field, Rule: message})
+	}
+	for _, cause := range e.Causes {
+		into = flatten(file, cause, into)
+	}
+	return into
+}
+
+// compile returns the schema; the partial one has no required fields, and lets
+// null remove a field.
+func compile(partial bool) (schema *jsonschema.Schema, err error) {
+	defer func() { err = errors.Wrap(err, "compiling the schema of settings") }()
+	document, err := jsonschema.UnmarshalJSON(bytes.NewReader(Schema))
+	if err != nil {
+		return nil, err
+	}
+	if partial {
+		relax(document)
+	}
+	compiler := jsonschema.NewCompiler()
+	compiler.RegisterFormat(&jsonschema.Format{Name: "address", Validate: checkAddress})
+	compiler.RegisterFormat(&jsonschema.Format{Name: "span", Validate: checkSpan})
+	compiler.AssertFormat()
+	if err := compiler.AddResource("settings.json", document); err != nil {
+		return nil, err
+	}
+	return compiler.Compile("settings.json")
+}
+
+// relax removes the lists of required fields, except in array items: a merge
+// patch replaces arrays whole.
+func relax(document any) {
+	root, ok := document.(map[string]any)
+	if !ok {
+		return
+	}
+	delete(root, "required")
+	definitions, _ := root["$defs"].(map[string]any)
+	if service, ok := definitions["service"].(map[string]any); ok {
+		delete(service, "required")
+		definitions["service"] = map[string]any{"anyOf": []any{service, map[string]any{"type": "null"}}}
+	}
+}
+
+func checkAddress(v any) error {
+	text, ok := v.(string)
+	if !ok {
+		return nil
+	}
+	_, err := netip.ParseAddrPort(text)
+	return err
+}
+
+func checkSpan(v any) error {
+	text, ok := v.(string)
+	if !ok {
+		return nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return err
+	}
+	if d <= 0 {
+		return errors.New("duration must be above 0")
+	}
+	return nil
+}
+
+// checkSyntax finds what the decoder of the standard library lets pass:
+// repeated fields and trailing data.
+func checkSyntax(data []byte) *Problem {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	if problem := checkValue(decoder, "/"); problem != nil {
+		return problem
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return &Problem{Field: "/", Rule: "there is data after the end of the settings"}
+	}
+	return nil
+}
+
+func checkValue(decoder *json.Decoder, path string) *Problem {
+	token, err := decoder.Token()
+	if err != nil {
+		return &Problem{Field: path, Rule: err.Error()}
+	}
+	switch token {
+	case json.Delim('{'):
+		return checkObject(decoder, path)
+	case json.Delim('['):
+		for decoder.More() {
+			if problem := checkValue(decoder, path); problem != nil {
+				return problem
+			}
+		}
+		_, err = decoder.Token()
+	}
+	if err != nil {
+		return &Problem{Field: path, Rule: err.Error()}
+	}
+	return nil
+}
+
+func checkObject(decoder *json.Decoder, path string) *Problem {
+	seen := make(map[string]bool)
+	for decoder.More() {
+		token, err := decoder.Token()
+		if err != nil {
+			return &Problem{Field: path, Rule: err.Error()}
+		}
+		name, _ := token.(string)
+		field := strings.TrimSuffix(path, "/") + "/" + name
+		if seen[name] {
+			return &Problem{Field: field, Rule: "field is repeated"}
+		}
+		seen[name] = true
+		if problem := checkValue(decoder, field); problem != nil {
+			return problem
+		}
+	}
+	if _, err := decoder.Token(); err != nil {
+		return &Problem{Field: path, Rule: err.Error()}
+	}
+	return nil
+}
--- a/pkg/oriole/oriolegroup/deputy.go
+++ b/pkg/oriole/oriolegroup/deputy.go
@@ -8,6 +8,12 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolehash"
 )
 
+// attemptMemory is how long an attempt to fill a vacancy counts.
+const attemptMemory = 10 * time.Second
+
+// maxDoublings bounds the wait before the next attempt.
+const maxDoublings = 4
+
 // deputyState is what a deputy knows of its keeper.
 type deputyState struct {
 	term     oriole.Term
@@ -118,7 +124,7 @@
 
 // takeover writes this gateway into the record as the keeper of a new term.
 func (m *Machine) takeover(now time.Time, table oriole.Table) {
-	if len(table.Owner) != m.cfg.Slices {
+	if len(table.Owner) != m.cfg.Slices || table.Seq < m.rec.Table.Seq {
 		table = m.rec.Table
 	}
 	rec := oriole.Record{
@@ -186,10 +192,12 @@
 	if m.vacantSince.IsZero() {
 		m.vacantSince = now
 	}
-	if now.Sub(m.vacantSince) < wait {
+	if now.Sub(m.vacantSince) < wait+m.backoff(now) {
 		return
 	}
 	m.vacantSince = now
+	m.attempts++
+	m.lastAttempt = now
 	if m.ver == 0 {
 		m.create(now)
 		return
@@ -197,6 +205,16 @@
 	m.takeover(now, m.rec.Table)
 }
 
+// backoff lengthens the wait of a gateway that keeps taking over a group and
+// keeps losing it: two gateways that can't hear each other would otherwise
+// take it from each other without end.
+func (m *Machine) backoff(now time.Time) time.Duration {
+	if now.Sub(m.lastAttempt) > attemptMemory {
+		m.attempts = 0
+	}
+	return m.cfg.Timing.Silence * time.Duration(int(1)<<min(m.attempts, maxDoublings)-1)
+}
+
 // vacancyWait returns whether the group lacks a keeper and how long this
 // gateway leaves it to those that come before it.
 func (m *Machine) vacancyWait() (wait time.Duration, vacant bool) {
--- a/pkg/oriole/oriolegroup/group_test.go
+++ b/pkg/oriole/oriolegroup/group_test.go
@@ -159,7 +159,7 @@
 			t.Fatalf("%s\n%s", w.violation, w.tail(120))
 		}
 		if served := w.served(); served != testSlices {
-			t.Fatalf("%d of %d slices are served after all faults ended\n%s", served, testSlices, w.tail(60))
+			t.Fatalf("%d of %d slices are served after all faults ended\n%s", served, testSlices, w.tail(60)+w.dump())
 		}
 	})
 }
--- a/pkg/oriole/oriolegroup/keeper.go
+++ b/pkg/oriole/oriolegroup/keeper.go
@@ -12,7 +12,7 @@
 const beatHistory = 64
 
 // publishInterval is the time between announcements of an unchanged view.
-const publishInterval = time.Second
+const publishInterval = 5 * time.Second
 
 // aloneState is the state of the agreement between keeper and deputy that lets
 // both act without the store.
--- a/pkg/oriole/oriolegroup/lease.go
+++ b/pkg/oriole/oriolegroup/lease.go
@@ -1,6 +1,7 @@
 package oriolegroup
 
 import (
+	"slices"
 	"time"
 
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
@@ -79,7 +80,7 @@
 		Seq:    k.table.Seq,
 	}
 	span := m.span(now, s)
-	if span > 0 && !m.rec.IsDown(server) {
+	if span > 0 && m.mayHold(server) {
 		grant.Mark = s.mark
 		grant.Incarnation = s.incarnation
 		grant.Span = span
@@ -89,6 +90,13 @@
 	m.emit(SendGrant{Grant: grant})
 }
 
+// mayHold reports whether the server may get a lease. A server of a group in
+// doubt gets none before its slices are proven: the lease that it reports is
+// part of the proof.
+func (m *Machine) mayHold(server int) bool {
+	return !m.rec.IsDown(server) && !slices.Contains(m.keeper.safe, false)
+}
+
 // span returns the span of a lease that counts from the server's newest mark
 // and ends with the keeper's authority, or 0 if none may be given.
 func (m *Machine) span(now time.Time, s *serverState) time.Duration {
--- a/pkg/oriole/oriolegroup/machine.go
+++ b/pkg/oriole/oriolegroup/machine.go
@@ -78,6 +78,8 @@
 	deputy  deputyState
 	// vacantSince is when this gateway first saw the group without a keeper.
 	vacantSince time.Time
+	attempts    int
+	lastAttempt time.Time
 	lastTick    time.Time
 	// reading is the number of the read under way, 0 if there is none.
 	reading  uint64
--- a/pkg/oriole/oriolegroup/move.go
+++ b/pkg/oriole/oriolegroup/move.go
@@ -58,11 +58,14 @@
 	return true
 }
 
-// markDown returns the marks that follow when the slices of lost servers move.
-func (m *Machine) markDown(now time.Time) []bool {
+// markDown returns the marks that go with the next table: a lost server that
+// owns nothing gets no lease before it is readmitted.
+func (m *Machine) markDown(now time.Time, next oriole.Table) []bool {
 	down := make([]bool, len(m.keeper.servers))
+	counts := next.Counts(len(down))
 	for i := range down {
-		down[i] = m.rec.IsDown(i) || m.lapsed(now, &m.keeper.servers[i])
+		lost := m.rec.IsDown(i) || m.lapsed(now, &m.keeper.servers[i])
+		down[i] = lost && counts[i] == 0
 	}
 	return down
 }
@@ -217,6 +220,10 @@
 		if busy != nil && busy(slice) {
 			return
 		}
+		if k.servers[to].lost || m.rec.IsDown(to) {
+			m.cancelMoves()
+			return
+		}
 		from := k.table.Owner[slice]
 		giver := &k.servers[from]
 		if giver.accepted <= giver.releaseFrom {
@@ -234,7 +241,7 @@
 // with the deputy's word.
 func (m *Machine) propose(now time.Time, next oriole.Table) {
 	k := m.keeper
-	next.Seq = k.table.Seq + 1
+	next.Seq = m.nextSeq()
 	switch {
 	case k.deputy == "" && !m.storeUp:
 		k.proposal = &next
@@ -250,7 +257,7 @@
 		k.proposal = &next
 		rec := m.rec.Clone()
 		rec.Table = next.Clone()
-		rec.Down = m.markDown(now)
+		rec.Down = m.markDown(now, next)
 		m.write(now, oriole.PurposeTable, rec)
 	}
 }
@@ -348,26 +355,29 @@
 }
 
 // findOwner returns the owner of the slice once all servers are excluded: the
-// server that held it when it was fenced, or else the last one to have held it.
-// A single server's word is not enough, since gateways that act without the
-// store may move the slice on to a server that is not fenced yet.
+// server that took it by the newest table, if that is newer than the record,
+// or else the record's owner. A single server's word is not enough, since
+// gateways that act without the store may move the slice on to a server that
+// is not fenced yet.
 func (m *Machine) findOwner(slice int, all bool) (owner int, known bool) {
 	k := m.keeper
-	newest := oriole.NoServer
+	owner = k.table.Owner[slice]
+	seq := m.rec.Table.Seq
 	for i := range k.servers {
 		s := &k.servers[i]
-		if !s.fenced || !slices.Contains(s.reportOwned, slice) {
-			continue
-		}
-		if s.reportHeld {
-			return i, all
-		}
-		if newest == oriole.NoServer || s.reportSeq > k.servers[newest].reportSeq {
-			newest = i
+		if s.fenced && s.reportSeq > seq && slices.Contains(s.reportOwned, slice) {
+			owner, seq = i, s.reportSeq
 		}
 	}
-	if newest == oriole.NoServer {
-		newest = k.table.Owner[slice]
+	return owner, all
+}
+
+// nextSeq returns the sequence of the table after the newest that any server
+// reported.
+func (m *Machine) nextSeq() uint64 {
+	seq := m.keeper.table.Seq
+	for i := range m.keeper.servers {
+		seq = max(seq, m.keeper.servers[i].reportSeq)
 	}
-	return newest, all
+	return seq + 1
 }
--- a/pkg/oriole/oriolegroup/routing.go
+++ b/pkg/oriole/oriolegroup/routing.go
@@ -7,36 +7,13 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 )
 
-// Routing is what a keeper's request path needs of the machine. It is
-// immutable.
-type Routing struct {
-	Keeper bool
-	Term   oriole.Term
-	// Owner maps each slice of the group to the server that serves it now, or
-	// [oriole.NoServer] while requests have to wait.
-	Owner []int
-	// Until tells for each server until when work may be sent to it.
-	Until []time.Time
-	// Incarnation tells servers that started anew from those that went on.
-	Incarnation []uint64
-	// Out marks the servers that get no new work unless they own its slice.
-	Out []bool
-	// Closing says that the keeper hands the group over and starts no work.
-	Closing bool
-}
-
-// Serves reports whether work may be sent to the server at the time.
-func (r *Routing) Serves(server int, now time.Time) bool {
-	return r.Keeper && !r.Closing && now.Before(r.Until[server])
-}
-
 // Routing returns the present routing.
-func (m *Machine) Routing() *Routing {
+func (m *Machine) Routing() *oriole.Routing {
 	k := m.keeper
 	if k == nil {
-		return &Routing{}
+		return &oriole.Routing{}
 	}
-	r := &Routing{
+	r := &oriole.Routing{
 		Keeper:      true,
 		Term:        k.term,
 		Owner:       slices.Clone(k.table.Owner),
--- /dev/null
+++ b/pkg/oriole/oriolequeue/limit.go
@@ -0,0 +1,71 @@
+package oriolequeue
+
+import "time"
+
+// rampRuns is how many runs at a normal time in a row raise a limit by one;
+// blindRuns is how many it takes while the normal time is not known, because
+// no server of the group has been warm yet.
+const (
+	rampRuns  = 8
+	blindRuns = 40
+)
+
+// normalFactor is how many times the normal time a run may take and still
+// count as normal.
+const normalFactor = 2
+
+// jumpFactor is how many times the server's own mean a run takes when it
+// points to a cold start; jumpRuns such runs in a row drop the limit.
+const (
+	jumpFactor = 6
+	jumpRuns   = 3
+)
+
+// limit is the number of requests that may run on a server at once. It starts
+// cold, rises on evidence, and drops to cold at once.
+type limit struct {
+	cold    int
+	warm    int
+	current int
+	normal  int
+	slow    int
+}
+
+func newLimit(cold, warm int) limit {
+	return limit{cold: cold, warm: warm, current: cold}
+}
+
+func (l *limit) now() int { return l.current }
+
+// drop sets the limit to what a cold server bears.
+func (l *limit) drop() {
+	l.current = l.cold
+	l.normal = 0
+	l.slow = 0
+}
+
+// completed takes in the time of a run, the server's own mean before it, and
+// the normal time, 0 if it is not known.
+func (l *limit) completed(took, mean, usual time.Duration) {
+	if mean > 0 && took > jumpFactor*mean {
+		l.slow++
+		if l.slow >= jumpRuns {
+			l.drop()
+		}
+		return
+	}
+	l.slow = 0
+	needed := blindRuns
+	if usual > 0 {
+		needed = rampRuns
+	}
+	if usual > 0 && took > normalFactor*usual {
+		l.normal = 0
+		return
+	}
+	l.normal++
+	if l.normal >= needed && l.current < l.warm {
+		l.current++
+		l.normal = 0
+	}
+}
--- a/pkg/oriole/request.go
+++ b/pkg/oriole/request.go
@@ -69,8 +69,10 @@
 	ID      string
 	Service ServiceName
 	Key     string
-	Slice   Slice
-	Method  string
+	Group   GroupID
+	// Slice counts within the group.
+	Slice  Slice
+	Method string
 	// Target is the path and query to send to the server.
 	Target string
 	Header http.Header
