Keep callers answered through silent peers and frozen servers

A killed gateway's peer connections stayed open (net/http does not close hijacked ones), requests waited for silent peers and frozen servers until their deadline, and an entry that was cut off from a keeper had no way round. Change: connections end with their server; idempotent requests are taken back from peers that are silent and servers that are lost; a request that can't reach its keeper goes by way of one other gateway. Conclusion: silence has to be a signal of its own on each link.

--- a/internal/oriolegateway/gateway.go
+++ b/internal/oriolegateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleconfig"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolehash"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolequeue"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolering"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
 )
 
@@ -40,6 +41,7 @@
 	work     *oriolework.Work
 	entry    *oriolefront.Entry
 	callers  *oriolefront.Server
+	relays   *oriolering.Ring[relayed]
 	timeline *oriolesight.Timeline
 	metrics  *oriolesight.Metrics
 	stopping atomic.Bool
@@ -117,7 +119,11 @@
 	g.buildPeers(timers, spec)
 	g.buildControl(timers, spec)
 	g.buildFront(timers, listeners)
+	g.relays = oriolering.New[relayed](relayRing)
 	g.tree = suture.New("gateway "+string(id), spec)
+	for range relayDuties {
+		g.tree.Add(&relayDuty{g})
+	}
 	for _, service := range []suture.Service{timers, g.work, g.peers, g.control, g.callers} {
 		g.tree.Add(service)
 	}
@@ -172,7 +178,8 @@
 	g.peers = oriolepeer.New(oriolepeer.Config{
 		Self:     g.self,
 		Secret:   g.settings.Load().Secret,
-		Clock:    timers,
+		Timers:   timers,
+		Silence:  time.Duration(g.settings.Load().Lease.Silence) + 2*time.Duration(g.settings.Load().Lease.Beat),
 		Metrics:  g.metrics,
 		Receiver: receiver{g},
 		Gate:     g.opts.gate,
@@ -323,6 +330,13 @@
 
 // Asked implements oriolepeer.Receiver.
 func (r receiver) Asked(ctx context.Context, request oriole.Request, reply func(oriole.Answer)) {
+	view, _ := r.g.control.View(request.Group)
+	if request.Relayed && view.Keeper != r.g.self.ID && view.Keeper != "" {
+		if !r.g.relays.Offer(relayed{ctx: ctx, request: request, to: view.Keeper, reply: reply}) {
+			reply(oriole.Refuse(oriole.ReasonQueueFull))
+		}
+		return
+	}
 	r.g.work.Submit(ctx, request, reply)
 }
 
--- a/internal/oriolegateway/oriolefront/server.go
+++ b/internal/oriolegateway/oriolefront/server.go
@@ -44,6 +44,8 @@
 func (s *Server) Serve(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrapf(err, "serving %s", s.name) }()
 	group, ctx := errgroup.WithContext(ctx)
+	// Connections that a handler has taken over end with the server as well.
+	s.http.BaseContext = func(net.Listener) context.Context { return ctx }
 	group.Go(func() error { return s.http.Serve(s.listener) })
 	group.Go(func() error {
 		<-ctx.Done()
--- a/internal/oriolegateway/oriolepeer/link.go
+++ b/internal/oriolegateway/oriolepeer/link.go
@@ -38,9 +38,10 @@
 
 // pendingAsk is a request that was forwarded and not answered yet.
 type pendingAsk struct {
-	id      string
-	written bool
-	answer  chan oriole.Answer
+	id         string
+	idempotent bool
+	written    bool
+	answer     chan oriole.Answer
 }
 
 func newLink(peer oriole.GatewayID, conn *websocket.Conn) *link {
@@ -77,6 +78,7 @@
 		if !p.cfg.Pass(l.peer) {
 			continue
 		}
+		p.hear(l.peer)
 		frame, err := oriolewire.Decode[oriolewire.Frame](data)
 		if err != nil {
 			p.cfg.Metrics.Add("peer_frames_refused", 1)
@@ -136,7 +138,7 @@
 // ask forwards a request and waits for the answer.
 func (l *link) ask(ctx context.Context, r oriole.Request, now time.Time) oriole.Answer {
 	number := l.next.Add(1)
-	ask := &pendingAsk{id: r.ID, answer: make(chan oriole.Answer, 1)}
+	ask := &pendingAsk{id: r.ID, idempotent: r.Idempotent, answer: make(chan oriole.Answer, 1)}
 	l.mu.Lock()
 	if l.closed {
 		l.mu.Unlock()
@@ -213,6 +215,20 @@
 	clear(l.served)
 }
 
+// giveUp answers the idempotent requests that wait for a peer that is silent,
+// so that they can be sent elsewhere. The others wait on: the peer may be
+// paused, and its word is better than none.
+func (l *link) giveUp() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for number, ask := range l.pending {
+		if ask.idempotent {
+			delete(l.pending, number)
+			ask.answer <- oriole.Lost(oriole.ReasonConnection)
+		}
+	}
+}
+
 // begin registers a request of the peer; end removes it.
 func (l *link) begin(number uint64, cancel context.CancelFunc) {
 	l.mu.Lock()
--- a/internal/oriolegateway/oriolepeer/peers.go
+++ b/internal/oriolegateway/oriolepeer/peers.go
@@ -16,6 +16,7 @@
 	"github.com/orioleswitch/orioleswitch/internal/oriolegateway/oriolesight"
 	"github.com/orioleswitch/orioleswitch/internal/oriolewire"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolehash"
 )
 
 // Path is where peers connect.
@@ -44,10 +45,13 @@
 type Config struct {
 	Self     oriole.Member
 	Secret   string
-	Clock    oriole.Clock
 	Metrics  *oriolesight.Metrics
 	Receiver Receiver
 	Gate     oriole.Gate
+	Timers   oriole.Timers
+	// Silence is the time without a frame after which a peer counts as
+	// unreachable.
+	Silence time.Duration
 	// Pass reports whether frames to and from a peer get through; tests and
 	// the demo use it to cut gateways off.
 	Pass func(peer oriole.GatewayID) bool
@@ -62,24 +66,29 @@
 	// dialled holds the duty that dials each peer.
 	dialled map[oriole.GatewayID]suture.ServiceToken
 	listed  map[oriole.GatewayID]time.Time
+	heard   map[oriole.GatewayID]time.Time
+	tries   uint64
 }
 
 // New returns the subtree.
 func New(cfg Config, spec suture.Spec) *Peers {
-	return &Peers{
+	p := &Peers{
 		Supervisor: suture.New("peers", spec),
 		cfg:        cfg,
 		links:      make(map[oriole.GatewayID]*link),
 		dialled:    make(map[oriole.GatewayID]suture.ServiceToken),
 		listed:     make(map[oriole.GatewayID]time.Time),
+		heard:      make(map[oriole.GatewayID]time.Time),
 	}
+	p.Add(&silenceDuty{p})
+	return p
 }
 
 // SetMembers takes the newest list of gateways: a duty dials each new one.
 func (p *Peers) SetMembers(members []oriole.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := p.cfg.Clock.Now()
+	now := p.cfg.Timers.Now()
 	for _, m := range members {
 		if m.ID == p.cfg.Self.ID {
 			continue
@@ -93,6 +102,7 @@
 		if now.Sub(p.listed[id]) > forgetAfter {
 			delete(p.dialled, id)
 			delete(p.listed, id)
+			delete(p.heard, id)
 			// The duty ends by itself if it has ended already.
 			_ = p.Remove(token)
 		}
@@ -128,13 +138,89 @@
 	}
 }
 
-// Ask forwards a request to the peer and waits for the answer.
+// Ask forwards a request to the peer and waits for the answer. If the peer
+// can't be reached directly, another one passes the request on.
 func (p *Peers) Ask(ctx context.Context, to oriole.GatewayID, r oriole.Request) oriole.Answer {
-	l := p.link(to)
+	l := p.reachable(to)
+	if l == nil && !r.Relayed {
+		l = p.relay(to, r.ID)
+		r.Relayed = true
+	}
 	if l == nil {
 		return oriole.Refuse(oriole.ReasonNotKeeper)
 	}
-	return l.ask(ctx, r, p.cfg.Clock.Now())
+	return l.ask(ctx, r, p.cfg.Timers.Now())
+}
+
+// reachable returns the link with a peer that is heard.
+func (p *Peers) reachable(to oriole.GatewayID) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.links[to]
+	if l == nil || p.cfg.Timers.Now().Sub(p.heard[to]) > p.cfg.Silence {
+		return nil
+	}
+	return l
+}
+
+// relay returns the link with a peer to pass a request on to another. The
+// subject spreads requests over the peers, and makes a later try take another.
+func (p *Peers) relay(to oriole.GatewayID, subject string) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.cfg.Timers.Now()
+	p.tries++
+	var best *link
+	var bestRank uint64
+	for id, l := range p.links {
+		rank := oriolehash.Rank(subject, string(id)) + p.tries
+		if id == to || now.Sub(p.heard[id]) > p.cfg.Silence {
+			continue
+		}
+		if best == nil || rank < bestRank {
+			best, bestRank = l, rank
+		}
+	}
+	return best
+}
+
+// hear records that a peer is there.
+func (p *Peers) hear(id oriole.GatewayID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard[id] = p.cfg.Timers.Now()
+}
+
+// silenceDuty gives up the requests that wait for silent peers.
+type silenceDuty struct{ peers *Peers }
+
+func (d *silenceDuty) String() string { return "notice silent peers" }
+
+// Serve implements suture.Service.
+func (d *silenceDuty) Serve(ctx context.Context) error {
+	p := d.peers
+	ticks, stop := p.cfg.Timers.Subscribe(p.cfg.Silence / 4)
+	defer stop()
+	for {
+		select {
+		case <-ticks:
+			p.cfg.Gate.Wait(ctx)
+			p.giveUpSilent()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (p *Peers) giveUpSilent() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.cfg.Timers.Now()
+	for id, l := range p.links {
+		if now.Sub(p.heard[id]) > p.cfg.Silence {
+			l.giveUp()
+		}
+	}
 }
 
 func (p *Peers) link(to oriole.GatewayID) *link {
@@ -212,7 +298,7 @@
 }
 
 func (p *Peers) asked(ctx context.Context, l *link, ask *oriolewire.Ask) {
-	r, err := ask.ToRequest(p.cfg.Clock.Now())
+	r, err := ask.ToRequest(p.cfg.Timers.Now())
 	if err != nil {
 		p.cfg.Metrics.Add("peer_frames_refused", 1)
 		l.out.Offer(&oriolewire.Frame{Reply: oriolewire.FromAnswer(ask.Number, ask.Id, oriole.Refuse(oriole.ReasonBadAnswer))})
--- a/internal/oriolegateway/oriolework/group.go
+++ b/internal/oriolegateway/oriolework/group.go
@@ -32,6 +32,7 @@
 // started is a request on its way to a server.
 type started struct {
 	ctx  context.Context
+	cut  context.CancelFunc
 	term oriole.Term
 	job  *oriolequeue.Job
 }
@@ -87,7 +88,11 @@
 // tree returns the supervisor of the group's duties.
 func (g *group) tree(spec suture.Spec) *suture.Supervisor {
 	tree := suture.New("group "+string(g.spec.ID), spec)
-	tree.Add(&queueDuty{group: g, contexts: make(map[*oriolequeue.Job]context.Context)})
+	tree.Add(&queueDuty{
+		group:    g,
+		contexts: make(map[*oriolequeue.Job]context.Context),
+		cuts:     make(map[*oriolequeue.Job]context.CancelFunc),
+	})
 	runner := g.cfg.Runner(g.spec.Service)
 	for i := range g.spec.Servers {
 		for range g.slots {
@@ -118,7 +123,9 @@
 type queueDuty struct {
 	group    *group
 	contexts map[*oriolequeue.Job]context.Context
-	current  *oriole.Routing
+	// cuts ends the runs in progress early.
+	cuts    map[*oriolequeue.Job]context.CancelFunc
+	current *oriole.Routing
 }
 
 func (d *queueDuty) String() string { return "queue " + string(d.group.spec.ID) }
@@ -168,6 +175,7 @@
 
 func (d *queueDuty) finished(ctx context.Context, f finished) {
 	d.reroute(ctx)
+	delete(d.cuts, f.job)
 	d.carryOut(ctx, d.group.queue.Done(d.group.cfg.Timers.Now(), f.server, f.job, f.answer))
 }
 
@@ -183,6 +191,11 @@
 
 func (d *queueDuty) carryOut(ctx context.Context, effects oriolequeue.Effects) {
 	g := d.group
+	for _, job := range effects.Abandons {
+		if cut := d.cuts[job]; cut != nil {
+			cut()
+		}
+	}
 	for _, server := range effects.Suspects {
 		g.cfg.Suspect(g.spec.ID, server)
 	}
@@ -195,7 +208,7 @@
 		// check waits for the request to end.
 		ok := g.mayStart(start.Server, start.Term, start.Job)
 		if ok {
-			ok = g.senders[start.Server].Offer(started{ctx: d.contexts[start.Job], term: start.Term, job: start.Job})
+			ok = d.send(start)
 		}
 		if !ok {
 			refused = append(refused, finished{start.Server, start.Job, oriole.Refuse(oriole.ReasonFenced)})
@@ -208,6 +221,18 @@
 	}
 }
 
+// send hands a request to a sender. There is room, since no more requests run
+// than there are senders.
+func (d *queueDuty) send(start oriolequeue.Start) bool {
+	ctx, cut := context.WithDeadline(d.contexts[start.Job], start.Job.Request.Deadline)
+	d.cuts[start.Job] = cut
+	if d.group.senders[start.Server].Offer(started{ctx: ctx, cut: cut, term: start.Term, job: start.Job}) {
+		return true
+	}
+	cut()
+	return false
+}
+
 // report publishes the state of the servers' queues.
 func (d *queueDuty) report() {
 	g := d.group
@@ -250,10 +275,9 @@
 // been paused since the queue decided.
 func (d *senderDuty) send(next started) oriole.Answer {
 	g := d.group
+	defer next.cut()
 	if !g.mayStart(d.server, next.term, next.job) {
 		return oriole.Refuse(oriole.ReasonFenced)
 	}
-	ctx, cancel := context.WithDeadline(next.ctx, next.job.Request.Deadline)
-	defer cancel()
-	return d.runner.Run(ctx, g.spec.Servers[d.server], next.term, next.job.Request)
+	return d.runner.Run(next.ctx, g.spec.Servers[d.server], next.term, next.job.Request)
 }
--- a/internal/oriolewire/convert.go
+++ b/internal/oriolewire/convert.go
@@ -31,6 +31,7 @@
 		Idempotent: r.Idempotent,
 		Token:      r.Token,
 		Left:       int64(r.Deadline.Sub(now)),
+		Relayed:    r.Relayed,
 	}
 }
 
@@ -52,6 +53,7 @@
 		Idempotent: a.Idempotent,
 		Token:      a.Token,
 		Deadline:   now.Add(time.Duration(a.Left)),
+		Relayed:    a.Relayed,
 	}, nil
 }
 
--- a/internal/oriolewire/wire_gen.go
+++ b/internal/oriolewire/wire_gen.go
@@ -52,6 +52,9 @@
 	// Number corresponds to the JSON schema field "number".
 	Number uint64 `json:"number"`
 
+	// Relayed says that a gateway other than the entry sent this on.
+	Relayed bool `json:"relayed"`
+
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service"`
 
--- a/pkg/oriole/oriolegroup/deputy.go
+++ b/pkg/oriole/oriolegroup/deputy.go
@@ -11,6 +11,10 @@
 // attemptMemory is how long an attempt to fill a vacancy counts.
 const attemptMemory = 10 * time.Second
 
+// settleSilences is how many times the silence a gateway waits that may not
+// have heard of the others yet.
+const settleSilences = 8
+
 // maxDoublings bounds the wait before the next attempt.
 const maxDoublings = 4
 
@@ -221,10 +225,17 @@
 	silence := m.cfg.Timing.Silence
 	rank := time.Duration(m.rank())
 	switch {
+	case m.ver == 0 && len(m.members) < 2:
+		// The list of VMs lags: a gateway that sees no other waits for it, so
+		// that the first one to start does not take every group.
+		return settleSilences * silence, true
 	case m.ver == 0:
-		return silence/2 + rank*silence, true
+		return silence + rank*silence, true
 	case m.rec.Keeper != m.cfg.Self && m.alive(m.rec.Keeper):
 		return 0, false
+	case m.rec.Keeper != m.cfg.Self && !m.knows(m.rec.Keeper):
+		// This gateway may be too new to have heard of the keeper.
+		return settleSilences*silence + rank*silence, true
 	case m.rec.Deputy != "" && m.rec.Deputy != m.cfg.Self && m.alive(m.rec.Deputy):
 		return 6*silence + rank*silence, true
 	default:
--- a/pkg/oriole/oriolegroup/machine.go
+++ b/pkg/oriole/oriolegroup/machine.go
@@ -1,6 +1,7 @@
 package oriolegroup
 
 import (
+	"slices"
 	"time"
 
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
@@ -245,6 +246,11 @@
 	m.resign(to, term)
 }
 
+// knows reports whether the gateway is among the members.
+func (m *Machine) knows(id oriole.GatewayID) bool {
+	return slices.ContainsFunc(m.members, func(c Candidate) bool { return c.ID == id })
+}
+
 func (m *Machine) alive(id oriole.GatewayID) bool {
 	for _, c := range m.members {
 		if c.ID == id {
--- a/pkg/oriole/oriolequeue/limit.go
+++ b/pkg/oriole/oriolequeue/limit.go
@@ -12,7 +12,7 @@
 
 // normalFactor is how many times the normal time a run may take and still
 // count as normal.
-const normalFactor = 2
+const normalFactor = 1.5
 
 // jumpFactor is how many times the server's own mean a run takes when it
 // points to a cold start; jumpRuns such runs in a row drop the limit.
@@ -29,6 +29,8 @@
 	current int
 	normal  int
 	slow    int
+	// settled counts the runs since the limit rose last.
+	settled int
 }
 
 func newLimit(cold, warm int) limit {
@@ -42,8 +44,12 @@
 	l.current = l.cold
 	l.normal = 0
 	l.slow = 0
+	l.settled = 0
 }
 
+// warmFor reports whether the limit has been above cold for n runs.
+func (l *limit) warmFor(n int) bool { return l.current > l.cold && l.settled >= n }
+
 // completed takes in the time of a run, the server's own mean before it, and
 // the normal time, 0 if it is not known.
 func (l *limit) completed(took, mean, usual time.Duration) {
@@ -55,11 +61,12 @@
 		return
 	}
 	l.slow = 0
+	l.settled++
 	needed := blindRuns
 	if usual > 0 {
 		needed = rampRuns
 	}
-	if usual > 0 && took > normalFactor*usual {
+	if usual > 0 && float64(took) > normalFactor*float64(usual) {
 		l.normal = 0
 		return
 	}
@@ -67,5 +74,6 @@
 	if l.normal >= needed && l.current < l.warm {
 		l.current++
 		l.normal = 0
+		l.settled = 0
 	}
 }
--- a/pkg/oriole/oriolequeue/queue.go
+++ b/pkg/oriole/oriolequeue/queue.go
@@ -55,8 +55,9 @@
 
 	print    Fingerprint
 	attempts int
-	solo     bool
 	started  time.Time
+	// abandoned says that the run was cut short by the queue itself.
+	abandoned bool
 }
 
 // Start asks for a request to be sent to a server.
@@ -69,6 +70,9 @@
 // Effects are the outputs of one step, in order.
 type Effects struct {
 	Starts []Start
+	// Abandons are the requests whose servers are lost and that can run again:
+	// their runs are to be cut short. Each still ends with Done.
+	Abandons []*Job
 	// Suspects are the servers that could not be reached.
 	Suspects []int
 	// Blamed are the requests that crashed a server.
@@ -146,11 +150,30 @@
 			}
 		}
 	}
+	q.abandonLost()
 	q.requeueMoved()
 	q.advance(now)
 	return q.out
 }
 
+// abandonLost cuts the idempotent requests short that run on lost servers.
+func (q *Queue) abandonLost() {
+	if !q.routing.Keeper {
+		return
+	}
+	for i, s := range q.servers {
+		if !q.routing.Lost[i] {
+			continue
+		}
+		for job := range s.jobs {
+			if job.Request.Idempotent && !job.abandoned {
+				job.abandoned = true
+				q.out.Abandons = append(q.out.Abandons, job)
+			}
+		}
+	}
+}
+
 // Arrive takes in a request. It is answered at once if it can't be served.
 func (q *Queue) Arrive(now time.Time, job *Job) Effects {
 	q.reset()
@@ -230,9 +253,15 @@
 	q.reset()
 	s := q.servers[server]
 	s.running--
+	delete(s.jobs, job)
 	s.solo = false
 	q.onBusy(job.Slice, -1)
-	q.learn(now, server, job, answer)
+	if job.abandoned {
+		job.abandoned = false
+		answer = oriole.Lost(oriole.ReasonConnection)
+	} else {
+		q.learn(now, server, job, answer)
+	}
 	switch {
 	case answer.Outcome == oriole.OutcomeAnswered:
 		q.reply(now, job, answer)
@@ -274,10 +303,14 @@
 // so that it follows servers that have become slower for good.
 const usualRise = 0.0005
 
+// usualRuns is how many runs a server must have been warm before its mean
+// counts as usual: until then the mean remembers the cold runs.
+const usualRuns = 24
+
 // learnUsual keeps the usual run time: the lowest mean that a warm server has
 // shown. Cold and slowed servers are seen against it.
 func (q *Queue) learnUsual(s *server) {
-	if s.limit.now() <= q.cfg.Limits.Cold {
+	if !s.limit.warmFor(usualRuns) {
 		return
 	}
 	if q.usual == 0 || s.latency < q.usual {
@@ -319,6 +352,7 @@
 
 func (q *Queue) reset() {
 	q.out.Starts = q.out.Starts[:0]
+	q.out.Abandons = q.out.Abandons[:0]
 	q.out.Suspects = q.out.Suspects[:0]
 	q.out.Blamed = q.out.Blamed[:0]
 }
@@ -420,6 +454,7 @@
 func (q *Queue) start(now time.Time, server int, job *Job, solo bool) {
 	s := q.servers[server]
 	s.running++
+	s.jobs[job] = struct{}{}
 	s.solo = solo
 	job.attempts++
 	job.started = now
--- a/pkg/oriole/oriolequeue/server.go
+++ b/pkg/oriole/oriolequeue/server.go
@@ -15,6 +15,7 @@
 type server struct {
 	line       line
 	running    int
+	jobs       map[*Job]struct{}
 	solo       bool
 	limit      limit
 	latency    time.Duration
@@ -22,7 +23,7 @@
 }
 
 func newServer(limits Limits) *server {
-	return &server{line: newLine(), limit: newLimit(limits.Cold, limits.Slots)}
+	return &server{line: newLine(), jobs: make(map[*Job]struct{}), limit: newLimit(limits.Cold, limits.Slots)}
 }
 
 // wait estimates how long a request that joins the line waits until it is
--- a/pkg/oriole/request.go
+++ b/pkg/oriole/request.go
@@ -82,6 +82,9 @@
 	// Token is the caller's idempotency key, or empty.
 	Token    string
 	Deadline time.Time
+	// Relayed says that the gateway it came from was not its entry, so that it
+	// must not be sent on again.
+	Relayed bool
 }
 
 // Answer is the result of a Request.
--- a/pkg/oriole/routing.go
+++ b/pkg/oriole/routing.go
@@ -15,6 +15,9 @@
 	Until []time.Time
 	// Incarnation tells a server that started anew from one that went on.
 	Incarnation []uint64
+	// Lost marks the servers that do not answer; requests that run there and
+	// are idempotent need not wait for them.
+	Lost []bool
 	// Out marks the servers that get no new work unless they own its slice.
 	Out []bool
 	// Closing says that the keeper hands the group over and starts no work.
