Spread the first keepers, and blame a request only when it ran alone

Cause: the time line of a zone's loss showed one gateway in charge of all groups, new gateways that took every group over because they had not heard of the keepers yet, and lookups of hot keys refused for a minute because several were in flight on servers that were lost. Conclusion: absence of news about a gateway is not news of its loss.

--- a/internal/oriolecli/demo.go
+++ b/internal/oriolecli/demo.go
@@ -15,6 +15,7 @@
 	Seed     uint64        `long:"seed" default:"1" description:"seed of all chance"`
 	Rate     int           `long:"rate" default:"500" description:"requests a second"`
 	Faults   []string      `long:"fault" description:"fault to inject; may be repeated"`
+	Timeline bool          `long:"timeline" description:"print the events of all gateways at the end"`
 	JSON     bool          `long:"json" description:"print the summary as one JSON object on the last line"`
 }
 
@@ -33,12 +34,17 @@
 	if !c.JSON {
 		progress = c.env.stdout
 	}
+	var timeline io.Writer
+	if c.Timeline {
+		timeline = c.env.stdout
+	}
 	summary, err := orioledemo.Run(c.env.ctx, orioledemo.Config{
 		Duration: c.Duration,
 		Seed:     c.Seed,
 		Faults:   c.Faults,
 		Rate:     c.Rate,
 		Progress: progress,
+		Timeline: timeline,
 	})
 	if err != nil {
 		return err
--- a/internal/orioledemo/demo.go
+++ b/internal/orioledemo/demo.go
@@ -12,6 +12,8 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/pkg/errors"
+
+	"github.com/orioleswitch/orioleswitch/internal/oriolegateway/oriolesight"
 )
 
 // readyTimeout is how long the gateways may take to start.
@@ -28,6 +30,8 @@
 	Rate     int
 	// Progress receives a line each second; nil for none.
 	Progress io.Writer
+	// Timeline receives the events of all gateways at the end; nil for none.
+	Timeline io.Writer
 }
 
 // Summary is the result of a run, judged by the stand-ins' records.
@@ -116,9 +120,25 @@
 		l.run(loadCtx)
 	}()
 	s.progress(cfg.Progress, l, ended)
+	s.printTimeline(cfg.Timeline)
 	return s.summarize(l)
 }
 
+// printTimeline prints the events of all gateways, causes before effects.
+func (s *system) printTimeline(w io.Writer) {
+	if w == nil {
+		return
+	}
+	var events []oriolesight.Event
+	for _, m := range s.gateways {
+		events = append(events, m.gateway.Timeline().Events(0)...)
+	}
+	oriolesight.Sort(events)
+	for _, e := range events {
+		fmt.Fprintln(w, e)
+	}
+}
+
 // progress prints a line each second until the load has ended.
 func (s *system) progress(w io.Writer, l *load, ended <-chan struct{}) {
 	ticker := time.NewTicker(time.Second)
--- a/internal/orioledemo/load.go
+++ b/internal/orioledemo/load.go
@@ -124,6 +124,8 @@
 // watch looks one key up again and again.
 func (l *load) watch(ctx context.Context, key string) {
 	defer l.open.Done()
+	l.system.judge.Watched(key, time.Now())
+	defer func() { l.system.judge.Unwatched(key, time.Now()) }()
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
 	for {
@@ -164,8 +166,8 @@
 	outcome, right := l.exchange(r)
 	end := time.Now()
 	l.system.judge.Told(r.operation, outcome, r.idempotent, right)
-	if r.key != "" {
-		l.system.judge.Served(r.key, start, end, outcome == oriole.OutcomeAnswered)
+	if r.key != "" && outcome == oriole.OutcomeAnswered {
+		l.system.judge.Served(r.key, end)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/oriolegateway/gateway.go
+++ b/internal/oriolegateway/gateway.go
@@ -168,10 +168,14 @@
 	return client
 }
 
-func (g *Gateway) blame(group oriole.GroupID, print oriolequeue.Fingerprint) {
-	g.timeline.Add(oriolesight.Event{Kind: "request-blamed", Group: group})
-	g.peers.Broadcast(&oriolewire.Frame{Blame: &oriolewire.Blame{Group: string(group), Print: uint64(print)}})
-	g.work.Blame(group, print)
+func (g *Gateway) blame(group oriole.GroupID, blame oriolequeue.Blame) {
+	kind := "request-suspected"
+	if blame.Alone {
+		kind = "request-blocked"
+	}
+	g.timeline.Add(oriolesight.Event{Kind: kind, Group: group})
+	g.peers.Broadcast(&oriolewire.Frame{Blame: &oriolewire.Blame{Group: string(group), Print: uint64(blame.Print), Alone: blame.Alone}})
+	g.work.Blame(group, blame)
 }
 
 func (g *Gateway) buildPeers(timers *orioletimer.Service, spec suture.Spec) {
@@ -322,7 +326,8 @@
 // Received implements oriolepeer.Receiver.
 func (r receiver) Received(from oriole.GatewayID, frame *oriolewire.Frame) {
 	if frame.Blame != nil {
-		r.g.work.Blame(oriole.GroupID(frame.Blame.Group), oriolequeue.Fingerprint(frame.Blame.Print))
+		blame := oriolequeue.Blame{Print: oriolequeue.Fingerprint(frame.Blame.Print), Alone: frame.Blame.Alone}
+		r.g.work.Blame(oriole.GroupID(frame.Blame.Group), blame)
 		return
 	}
 	r.g.control.Received(from, frame)
--- a/internal/oriolegateway/oriolecontrol/decide.go
+++ b/internal/oriolegateway/oriolecontrol/decide.go
@@ -24,6 +24,9 @@
 	lastUp   time.Time
 	lastTick time.Time
 	sight    time.Time
+	balanced time.Time
+	// changed is when the members changed last.
+	changed time.Time
 }
 
 // machine is the decision state of one group and the rings of its servers.
@@ -109,7 +112,9 @@
 
 func (d *decider) tick() {
 	now := d.control.cfg.Timers.Now()
-	if candidates, changed := d.members.candidates(now, d.silence()); changed {
+	candidates, changed := d.members.candidates(now, d.silence())
+	if changed {
+		d.changed = now
 		d.stepAll(oriolegroup.MembersChanged{Members: candidates})
 	}
 	free := true
@@ -119,6 +124,10 @@
 	}
 	d.control.free.Store(free)
 	d.control.watching.Store(d.members.watches(now, d.silence()))
+	if now.Sub(d.balanced) >= balanceInterval {
+		d.balanced = now
+		d.balance(now)
+	}
 	if now.Sub(d.sight) >= sightInterval {
 		d.sight = now
 		d.sendSight(now)
--- a/internal/oriolegateway/oriolecontrol/membership.go
+++ b/internal/oriolegateway/oriolecontrol/membership.go
@@ -109,8 +109,9 @@
 	if now.Sub(k.heard) <= silence {
 		return true
 	}
-	if k.since.IsZero() || now.Sub(k.since) < listedGrace {
-		return false
+	if k.heard.IsZero() && !k.since.IsZero() && now.Sub(k.since) < listedGrace {
+		// It is listed for the first time, and links are still being made.
+		return true
 	}
 	for via, peer := range m.known {
 		vouches := via != id && via != m.self.ID && now.Sub(peer.sightAt) <= silence
--- a/internal/oriolegateway/oriolesight/timeline.go
+++ b/internal/oriolegateway/oriolesight/timeline.go
@@ -3,6 +3,9 @@
 package oriolesight
 
 import (
+	"cmp"
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +31,32 @@
 	Count   int              `json:"count,omitempty"`
 }
 
+// String returns the event as one line for people.
+func (e Event) String() string {
+	line := fmt.Sprintf("%s %6d %-16s %-12s", e.At.Format("15:04:05.000"), e.Clock, e.Gateway, e.Kind)
+	if e.Group != "" {
+		line += fmt.Sprintf(" %s term %d", e.Group, e.Term)
+	}
+	if e.Server != "" {
+		line += " server " + string(e.Server)
+	}
+	if e.Count != 0 {
+		line += fmt.Sprintf(" count %d", e.Count)
+	}
+	return line
+}
+
+// Sort puts events of several gateways in causal order, and by time where one
+// did not cause the other.
+func Sort(events []Event) {
+	slices.SortStableFunc(events, func(a, b Event) int {
+		if c := cmp.Compare(a.Clock, b.Clock); c != 0 {
+			return c
+		}
+		return a.At.Compare(b.At)
+	})
+}
+
 // Timeline keeps the newest events of one gateway. It is safe for concurrent
 // use.
 type Timeline struct {
--- a/internal/oriolegateway/oriolework/group.go
+++ b/internal/oriolegateway/oriolework/group.go
@@ -22,11 +22,11 @@
 // queueTick is the interval at which a queue looks for requests that are late.
 const queueTick = 5 * time.Millisecond
 
-// arrival is what enters a group's ring: a request, or a fingerprint to blame.
+// arrival is what enters a group's ring: a request, or one to blame.
 type arrival struct {
 	ctx   context.Context
 	job   *oriolequeue.Job
-	print oriolequeue.Fingerprint
+	blame oriolequeue.Blame
 }
 
 // started is a request on its way to a server.
@@ -160,7 +160,7 @@
 	d.reroute(ctx)
 	now := d.group.cfg.Timers.Now()
 	if a.job == nil {
-		d.group.queue.Blame(now, a.print)
+		d.group.queue.Blame(now, a.blame)
 		return
 	}
 	reply := a.job.Reply
@@ -199,8 +199,8 @@
 	for _, server := range effects.Suspects {
 		g.cfg.Suspect(g.spec.ID, server)
 	}
-	for _, print := range effects.Blamed {
-		g.cfg.Blame(g.spec.ID, print)
+	for _, blame := range effects.Blamed {
+		g.cfg.Blame(g.spec.ID, blame)
 	}
 	var refused []finished
 	for _, start := range effects.Starts {
--- a/internal/oriolegateway/oriolework/work.go
+++ b/internal/oriolegateway/oriolework/work.go
@@ -28,7 +28,7 @@
 	// Suspect is told of a server that could not be reached, and Blame of a
 	// request that crashed one.
 	Suspect func(group oriole.GroupID, server int)
-	Blame   func(group oriole.GroupID, print oriolequeue.Fingerprint)
+	Blame   func(group oriole.GroupID, blame oriolequeue.Blame)
 	Seed    uint64
 }
 
@@ -108,14 +108,14 @@
 
 // Blame tells the queues of the service's other groups of a request that
 // crashed a server of the given group.
-func (w *Work) Blame(at oriole.GroupID, print oriolequeue.Fingerprint) {
+func (w *Work) Blame(at oriole.GroupID, blame oriolequeue.Blame) {
 	origin := w.groups[at]
 	if origin == nil {
 		return
 	}
 	for id, g := range w.groups {
 		if id != at && g.spec.Service == origin.spec.Service {
-			g.in.Offer(arrival{print: print})
+			g.in.Offer(arrival{blame: blame})
 		}
 	}
 }
--- a/internal/oriolejudge/judge.go
+++ b/internal/oriolejudge/judge.go
@@ -39,10 +39,10 @@
 	idempotent bool
 }
 
-// keyHistory tells since when a key is not served.
+// keyHistory tells when a key was last served.
 type keyHistory struct {
-	failing time.Time
-	worst   time.Duration
+	answered time.Time
+	worst    time.Duration
 }
 
 // Verdict is what the records show. Counts of faults must be 0.
@@ -159,31 +159,30 @@
 	}
 }
 
-// Served records that a request for the key, sent at start, ended at end, and
-// whether it was answered. A key is unavailable from the start of the first
-// request that is not answered to the end of the next one that is.
-func (j *Judge) Served(key string, start, end time.Time, answered bool) {
+// Watched starts to judge for how long a key is not served: the longest time
+// between two answers to requests for it. Its caller must go on to ask for the
+// key at short intervals until Unwatched.
+func (j *Judge) Watched(key string, now time.Time) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.keys[key] = &keyHistory{answered: now}
+}
+
+// Served records that a request for the key was answered.
+func (j *Judge) Served(key string, now time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	history := j.keys[key]
-	if history == nil {
-		history = &keyHistory{}
-		j.keys[key] = history
+	if history != nil && now.After(history.answered) {
+		history.worst = max(history.worst, now.Sub(history.answered))
+		history.answered = now
 	}
-	if !answered {
-		if history.failing.IsZero() || start.Before(history.failing) {
-			history.failing = start
-		}
-		return
-	}
-	from := start
-	if !history.failing.IsZero() && history.failing.Before(start) {
-		from = history.failing
-	}
-	history.failing = time.Time{}
-	history.worst = max(history.worst, end.Sub(from))
 }
 
+// Unwatched ends what Watched began. A key that is not served then counts as
+// unavailable until now.
+func (j *Judge) Unwatched(key string, now time.Time) { j.Served(key, now) }
+
 // Work returns how many runs took effect on each upstream.
 func (j *Judge) Work() map[oriole.ServerID]int {
 	j.mu.Lock()
--- a/internal/oriolewire/wire_gen.go
+++ b/internal/oriolewire/wire_gen.go
@@ -97,6 +97,9 @@
 
 // Blame names a request, by its fingerprint, that crashed a server.
 type Blame struct {
+	// Alone says that the request ran alone when the server failed.
+	Alone bool `json:"alone"`
+
 	// Group corresponds to the JSON schema field "group".
 	Group string `json:"group"`
 
--- a/pkg/oriole/oriolegroup/deputy.go
+++ b/pkg/oriole/oriolegroup/deputy.go
@@ -196,7 +196,13 @@
 	if m.vacantSince.IsZero() {
 		m.vacantSince = now
 	}
-	if now.Sub(m.vacantSince) < wait+m.backoff(now) {
+	since := m.vacantSince
+	if m.ver == 0 {
+		// The first keepers are chosen among gateways that see each other, so
+		// that the groups spread over all of them.
+		since = later(since, m.membersAt)
+	}
+	if now.Sub(since) < wait+m.backoff(now) {
 		return
 	}
 	m.vacantSince = now
@@ -230,7 +236,7 @@
 		// that the first one to start does not take every group.
 		return settleSilences * silence, true
 	case m.ver == 0:
-		return silence + rank*silence, true
+		return 2*silence + rank*silence, true
 	case m.rec.Keeper != m.cfg.Self && m.alive(m.rec.Keeper):
 		return 0, false
 	case m.rec.Keeper != m.cfg.Self && !m.knows(m.rec.Keeper):
--- a/pkg/oriole/oriolegroup/event.go
+++ b/pkg/oriole/oriolegroup/event.go
@@ -104,6 +104,12 @@
 	Server int
 }
 
+// HandOver asks the keeper to make another gateway its deputy and then to
+// hand the group over to it.
+type HandOver struct {
+	To oriole.GatewayID
+}
+
 // Leave asks the machine to hand its duties over.
 type Leave struct{}
 
@@ -119,6 +125,7 @@
 func (StoreHealth) event()    {}
 func (ServersOut) event()     {}
 func (ServerSuspect) event()  {}
+func (HandOver) event()       {}
 func (Leave) event()          {}
 
 // Effect is an output of [Machine.Step].
--- a/pkg/oriole/oriolegroup/keeper.go
+++ b/pkg/oriole/oriolegroup/keeper.go
@@ -62,6 +62,9 @@
 	lastPublish time.Time
 	lastMove    time.Time
 	handingOver bool
+	// successor is the gateway that the group is to be handed over to, or
+	// empty.
+	successor oriole.GatewayID
 	// foreigners are the gateways that may act under an earlier term and have
 	// not resigned yet.
 	foreigners []oriole.GatewayID
@@ -341,10 +344,18 @@
 		return
 	}
 	silent := now.Sub(k.ackAt) > m.cfg.Timing.Silence
-	if k.deputy != "" && !silent && m.alive(k.deputy) {
+	wanted := k.successor == "" || k.successor == k.deputy
+	if k.deputy != "" && !silent && m.alive(k.deputy) && wanted {
 		return
 	}
 	next := m.chooseDeputy(k.deputy)
+	if k.successor != "" {
+		next = k.successor
+		if silent || !m.alive(next) {
+			k.successor = ""
+			next = m.chooseDeputy(k.deputy)
+		}
+	}
 	if next == "" || next == k.deputy {
 		if k.deputy == "" || !silent {
 			return
@@ -424,10 +435,20 @@
 // no request runs.
 func (m *Machine) checkHandover(now time.Time, busy func(int) bool) {
 	k := m.keeper
-	if k == nil || !m.leaving || m.op != nil || k.alone != aloneOff || !m.storeUp {
+	if k == nil || m.op != nil || k.alone != aloneOff || !m.storeUp {
+		return
+	}
+	succeeds := k.successor != "" && k.successor == k.deputy && k.echo > 0 && !k.frozen
+	if !m.leaving && !succeeds {
 		return
 	}
 	if k.deputy == "" || !m.alive(k.deputy) || now.Sub(k.ackAt) > m.cfg.Timing.Silence {
+		k.handingOver = false
+		return
+	}
+	if k.ackSeq < k.table.Seq || m.moving() || k.proposal != nil {
+		// The successor must have the table, and no move may be half done.
+		m.cancelMoves()
 		return
 	}
 	k.handingOver = true
@@ -443,6 +464,13 @@
 	m.write(now, oriole.PurposeHandover, rec)
 }
 
+// handOver names the gateway that this group is to be handed over to.
+func (m *Machine) handOver(to oriole.GatewayID) {
+	if m.keeper != nil && to != m.cfg.Self && m.alive(to) {
+		m.keeper.successor = to
+	}
+}
+
 func anyBusy(n int, busy func(int) bool) bool {
 	if busy == nil {
 		return false
--- a/pkg/oriole/oriolegroup/machine.go
+++ b/pkg/oriole/oriolegroup/machine.go
@@ -73,10 +73,12 @@
 	ver     oriole.Version
 	known   bool
 	members []Candidate
-	storeUp bool
-	op      *operation
-	keeper  *keeperState
-	deputy  deputyState
+	// membersAt is when the members changed last.
+	membersAt time.Time
+	storeUp   bool
+	op        *operation
+	keeper    *keeperState
+	deputy    deputyState
 	// vacantSince is when this gateway first saw the group without a keeper.
 	vacantSince time.Time
 	attempts    int
@@ -124,6 +126,9 @@
 		m.recordSeen(now, e.Record, e.Version)
 	case MembersChanged:
 		m.members = e.Members
+		m.membersAt = now
+	case HandOver:
+		m.handOver(e.To)
 	case StoreHealth:
 		m.storeUp = e.Up
 	case ServersOut:
--- a/pkg/oriole/oriolequeue/blame.go
+++ b/pkg/oriole/oriolequeue/blame.go
@@ -19,9 +19,6 @@
 	suspectTime = 10 * time.Second
 )
 
-// blockCrashes is the number of crashes after which a request is refused.
-const blockCrashes = 2
-
 // Fingerprint identifies a request by its content, for all gateways alike.
 type Fingerprint uint64
 
@@ -42,8 +39,10 @@
 }
 
 type blameEntry struct {
-	crashes int
-	last    time.Time
+	// alone says that the request ran alone when a server failed: then it is
+	// taken for the cause.
+	alone bool
+	last  time.Time
 }
 
 func newBlame() *blame {
@@ -55,17 +54,15 @@
 	return &blame{entries: entries}
 }
 
-// crashed records that a server failed while it ran the request. It reports
-// true, so that others are told.
-func (b *blame) crashed(now time.Time, print Fingerprint) bool {
-	entry, _ := b.entries.Get(print)
-	if now.Sub(entry.last) > blockTime {
-		entry.crashes = 0
+// crashed records that a server failed while it ran the request, alone or with
+// others. Several requests may have been in flight, and the server may have
+// failed for its own reasons: the first time only makes the request a suspect.
+func (b *blame) crashed(now time.Time, print Fingerprint, alone bool) {
+	entry, known := b.entries.Peek(print)
+	if known && entry.alone && now.Sub(entry.last) < blockTime {
+		alone = true
 	}
-	entry.crashes++
-	entry.last = now
-	b.entries.Add(print, entry)
-	return true
+	b.entries.Add(print, blameEntry{alone: alone, last: now})
 }
 
 // cleared forgets a request that a server has answered.
@@ -81,7 +78,7 @@
 		return false
 	}
 	entry, known := b.entries.Peek(print)
-	return known && entry.crashes >= blockCrashes && now.Sub(entry.last) < blockTime
+	return known && entry.alone && now.Sub(entry.last) < blockTime
 }
 
 // suspected reports whether the request must run alone on its server, so that
@@ -91,5 +88,5 @@
 		return false
 	}
 	entry, known := b.entries.Peek(print)
-	return known && entry.crashes > 0 && now.Sub(entry.last) < suspectTime
+	return known && now.Sub(entry.last) < suspectTime
 }
--- a/pkg/oriole/oriolequeue/queue.go
+++ b/pkg/oriole/oriolequeue/queue.go
@@ -56,6 +56,7 @@
 	print    Fingerprint
 	attempts int
 	started  time.Time
+	solo     bool
 	// abandoned says that the run was cut short by the queue itself.
 	abandoned bool
 }
@@ -76,7 +77,14 @@
 	// Suspects are the servers that could not be reached.
 	Suspects []int
 	// Blamed are the requests that crashed a server.
-	Blamed []Fingerprint
+	Blamed []Blame
+}
+
+// Blame is a request that was in flight when its server failed.
+type Blame struct {
+	Print Fingerprint
+	// Alone says that it ran as a suspect, with no other.
+	Alone bool
 }
 
 // Counts are totals since the start.
@@ -289,9 +297,8 @@
 	case answer.Reason == oriole.ReasonConnection && answer.Outcome == oriole.OutcomeUnknown:
 		s.limit.drop()
 		q.out.Suspects = append(q.out.Suspects, server)
-		if q.blame.crashed(now, job.print) {
-			q.out.Blamed = append(q.out.Blamed, job.print)
-		}
+		q.blame.crashed(now, job.print, job.solo)
+		q.out.Blamed = append(q.out.Blamed, Blame{Print: job.print, Alone: job.solo})
 	case answer.Reason == oriole.ReasonConnection:
 		s.limit.drop()
 		s.pauseUntil = now.Add(connectPause)
@@ -348,7 +355,7 @@
 }
 
 // Blame takes in what another gateway found of a request.
-func (q *Queue) Blame(now time.Time, print Fingerprint) { q.blame.crashed(now, print) }
+func (q *Queue) Blame(now time.Time, b Blame) { q.blame.crashed(now, b.Print, b.Alone) }
 
 func (q *Queue) reset() {
 	q.out.Starts = q.out.Starts[:0]
@@ -458,6 +465,7 @@
 	s.solo = solo
 	job.attempts++
 	job.started = now
+	job.solo = solo
 	q.onBusy(job.Slice, 1)
 	q.out.Starts = append(q.out.Starts, Start{Server: server, Term: q.routing.Term, Job: job})
 }
