Bar a restarted duty from the terms it may have acted under

Change: a record counts its deputies in rounds, and a machine that starts again takes no part in a term and round it may have acted in before. Status, time line and drain come to the command line, and a stopped listener stays stopped. Conclusion: what a duty may forget is a lease, never a promise.

--- a/internal/oriolecli/cli.go
+++ b/internal/oriolecli/cli.go
@@ -49,6 +49,9 @@
 	add(parser, "run", "Run a gateway", &runCommand{env: env})
 	add(parser, "check", "Check settings", &checkCommand{env: env})
 	add(parser, "demo", "Run a whole system in one process", &demoCommand{env: env})
+	add(parser, "status", "Show the state of gateways", &statusCommand{env: env})
+	add(parser, "timeline", "Show the events of gateways in causal order", &timelineCommand{env: env})
+	add(parser, "drain", "Make a gateway hand over its duties and leave", &drainCommand{env: env})
 	return finish(parser, args, stdout, stderr)
 }
 
--- a/internal/oriolegateway/gateway.go
+++ b/internal/oriolegateway/gateway.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -349,13 +348,3 @@
 func (r receiver) Connected(peer oriole.Member) { r.g.control.Connected(peer) }
 
 func addrOf(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
-
-// operators returns the handler of the operators' address.
-func (g *Gateway) operators() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = w.Write([]byte(g.metrics.String()))
-	})
-	return mux
-}
--- a/internal/oriolegateway/oriolecontrol/control.go
+++ b/internal/oriolegateway/oriolecontrol/control.go
@@ -87,6 +87,7 @@
 	leaving  atomic.Bool
 	free     atomic.Bool
 	storeUp  atomic.Bool
+	status   atomic.Pointer[[]GroupStatus]
 }
 
 // input is one entry of the deciding duty's ring.
@@ -173,8 +174,37 @@
 	return (*c.views.Load())[group], changed
 }
 
+// GroupStatus is what a gateway knows of one group.
+type GroupStatus struct {
+	Group   oriole.GroupID   `json:"group"`
+	Role    string           `json:"role"`
+	Term    oriole.Term      `json:"term"`
+	Keeper  oriole.GatewayID `json:"keeper"`
+	Deputy  oriole.GatewayID `json:"deputy"`
+	Doubt   bool             `json:"doubt"`
+	Servers []ServerStatus   `json:"servers,omitempty"`
+}
+
+// ServerStatus is what a keeper knows of one server.
+type ServerStatus struct {
+	Server oriole.ServerID `json:"server"`
+	Zone   oriole.ZoneName `json:"zone"`
+	Slices int             `json:"slices"`
+	Lost   bool            `json:"lost"`
+	Down   bool            `json:"down"`
+	Out    bool            `json:"out"`
+}
+
+// Status returns the state of all groups, as of the last second.
+func (c *Control) Status() []GroupStatus {
+	if status := c.status.Load(); status != nil {
+		return *status
+	}
+	return nil
+}
+
 // machineConfig returns the configuration of the group's machine.
-func (c *Control) machineConfig(g orioleconfig.Group) oriolegroup.Config {
+func (c *Control) machineConfig(g orioleconfig.Group, restarted bool) oriolegroup.Config {
 	return oriolegroup.Config{
 		Self:     c.cfg.Self.ID,
 		Zone:     c.cfg.Self.Zone,
@@ -186,6 +216,8 @@
 		Spreader: oriolespread.Even{},
 		Leveler:  oriolespread.Even{Level: true},
 		Batch:    moveBatch,
+
+		Restarted: restarted,
 	}
 }
 
--- a/internal/oriolegateway/oriolecontrol/decide.go
+++ b/internal/oriolegateway/oriolecontrol/decide.go
@@ -46,13 +46,14 @@
 // permission that it remembers can be trusted.
 func (d *decider) reset() {
 	c := d.control
+	restarted := d.machines != nil
 	d.machines = make(map[oriole.GroupID]*machine)
 	d.order = nil
 	d.members = newMembership(c.cfg.Self)
 	for _, g := range c.groups {
 		m := &machine{
 			spec:   g,
-			decide: oriolegroup.New(c.machineConfig(g)),
+			decide: oriolegroup.New(c.machineConfig(g, restarted)),
 			busy:   func(slice int) bool { return c.cfg.Busy(g.ID, slice) },
 		}
 		d.machines[g.ID] = m
@@ -125,6 +126,7 @@
 	if now.Sub(d.balanced) >= balanceInterval {
 		d.balanced = now
 		d.balance(now)
+		d.report()
 	}
 	if now.Sub(d.sight) >= sightInterval {
 		d.sight = now
@@ -132,6 +134,46 @@
 	}
 }
 
+// report publishes the state of all groups.
+func (d *decider) report() {
+	views := *d.control.views.Load()
+	var status []GroupStatus
+	for _, m := range d.order {
+		view := views[m.spec.ID]
+		rec, _ := m.decide.Record()
+		group := GroupStatus{
+			Group:  m.spec.ID,
+			Role:   m.decide.Role().String(),
+			Term:   view.Term,
+			Keeper: view.Keeper,
+			Deputy: view.Deputy,
+			Doubt:  rec.Doubt,
+		}
+		if m.decide.Role() == oriolegroup.RoleKeeper {
+			group.Servers = serverStatus(m, rec)
+		}
+		status = append(status, group)
+	}
+	d.control.status.Store(&status)
+}
+
+func serverStatus(m *machine, rec oriole.Record) []ServerStatus {
+	routing := m.decide.Routing()
+	slices := oriole.Table{Owner: routing.Owner}.Counts(len(m.spec.Servers))
+	var status []ServerStatus
+	for i, server := range m.spec.Servers {
+		status = append(status, ServerStatus{
+			Server: server.ID,
+			Zone:   server.Zone,
+			Slices: slices[i],
+			Lost:   routing.Lost[i],
+			Down:   rec.IsDown(i),
+			Out:    routing.Out[i],
+		})
+	}
+	return status
+}
+
 func (d *decider) silence() time.Duration {
 	return 2 * time.Duration(d.control.cfg.Settings.Lease.Silence)
 }
--- a/internal/oriolegateway/oriolefront/server.go
+++ b/internal/oriolegateway/oriolefront/server.go
@@ -46,7 +46,14 @@
 	group, ctx := errgroup.WithContext(ctx)
 	// Connections that a handler has taken over end with the server as well.
 	s.http.BaseContext = func(net.Listener) context.Context { return ctx }
-	group.Go(func() error { return s.http.Serve(s.listener) })
+	group.Go(func() error {
+		err := s.http.Serve(s.listener)
+		if errors.Is(err, http.ErrServerClosed) {
+			// Shutdown has stopped it for good.
+			<-ctx.Done()
+		}
+		return err
+	})
 	group.Go(func() error {
 		<-ctx.Done()
 		return s.http.Close()
--- a/internal/oriolewire/wire_gen.go
+++ b/internal/oriolewire/wire_gen.go
@@ -85,6 +85,9 @@
 	// Number corresponds to the JSON schema field "number".
 	Number uint64 `json:"number"`
 
+	// Round corresponds to the JSON schema field "round".
+	Round uint64 `json:"round"`
+
 	// Table corresponds to the JSON schema field "table".
 	Table Table `json:"table"`
 
@@ -295,6 +298,9 @@
 	// Keeper corresponds to the JSON schema field "keeper".
 	Keeper string `json:"keeper"`
 
+	// Round corresponds to the JSON schema field "round".
+	Round uint64 `json:"round"`
+
 	// Table corresponds to the JSON schema field "table".
 	Table Table `json:"table"`
 
--- a/pkg/oriole/message.go
+++ b/pkg/oriole/message.go
@@ -10,6 +10,8 @@
 	// Version is the store version of the record that the keeper last
 	// confirmed.
 	Version Version
+	// Round is that of the keeper's record.
+	Round uint64
 	// Alone permits the keeper to renew leases without acknowledgements, and
 	// the deputy to take the reserved term without the store. The deputy's
 	// right ends Left after it sent the acknowledgement numbered Echo.
--- a/pkg/oriole/oriolegroup/deputy.go
+++ b/pkg/oriole/oriolegroup/deputy.go
@@ -48,6 +48,11 @@
 
 func (m *Machine) beatReceived(now time.Time, e BeatReceived) {
 	beat := e.Beat
+	if m.isBarred(beat.Term, beat.Round) {
+		// Not an acknowledgement, and not news of a higher term either.
+		m.emit(SendAck{To: e.From, Ack: oriole.BeatAck{Group: m.cfg.Group, Number: beat.Number, Refused: true}})
+		return
+	}
 	if beat.Term < m.term() || (m.role == RoleKeeper && beat.Term == m.term()) {
 		m.refuseBeat(e)
 		return
--- a/pkg/oriole/oriolegroup/group_test.go
+++ b/pkg/oriole/oriolegroup/group_test.go
@@ -38,7 +38,7 @@
 	case "keeper-pause":
 		return w.pause(keeper)
 	case "duty-restart":
-		w.restartMachine(g)
+		w.newMachine(g, true)
 		w.membersChanged()
 	case "gateway-join":
 		if len(w.gateways) < 8 {
@@ -200,7 +200,7 @@
 				w := newWorld(seed, 4, 3, testSlices)
 				w.timing.Alone = time.Hour
 				for _, g := range w.gateways {
-					w.restartMachine(g)
+					w.newMachine(g, false)
 				}
 				w.keepTrace = true
 				w.membersChanged()
@@ -236,3 +236,39 @@
 	}
 	return last
 }
+
+// TestRestartedDutyKeepsItsOldPromises replays what the model found: a deputy
+// takes its reserved term while the store is away, forgets it with a failure of
+// its duty, and must not vouch to the old keeper that it never did.
+func TestRestartedDutyKeepsItsOldPromises(t *testing.T) {
+	for seed := range uint64(20) {
+		is := is.New(t)
+		w := newWorld(seed, 2, 2, 2)
+		w.keepTrace = true
+		w.timing.Alone = time.Hour
+		for _, g := range w.gateways {
+			w.newMachine(g, false)
+		}
+		w.membersChanged()
+		w.runUntil(4 * time.Second)
+		is.Equal(w.served(), 2)
+		keeper, deputy := w.keeperOf(), w.deputyOf()
+		w.store.down = true
+		w.runUntil(w.now + time.Second)
+		// The deputy loses the keeper and takes the reserved term; the keeper
+		// has lost server 0, which the deputy still reaches.
+		heal := w.cutOff(string(keeper.id), string(deputy.id))
+		w.cutOff(string(keeper.id), w.servers[0].name)
+		w.cutOff(string(deputy.id), w.servers[1].name)
+		w.runUntil(w.now + time.Second)
+		is.Equal(deputy.machine.Role(), RoleKeeper)
+		w.newMachine(deputy, true)
+		w.membersChanged()
+		heal()
+		// The lease that the forgotten machine gave still runs for a while.
+		w.runUntil(w.now + 5*time.Second)
+		if w.violation != "" {
+			t.Fatalf("seed %d: %s\n%s", seed, w.violation, w.tail(40))
+		}
+	}
+}
--- a/pkg/oriole/oriolegroup/keeper.go
+++ b/pkg/oriole/oriolegroup/keeper.go
@@ -243,6 +243,7 @@
 		Term:    k.term,
 		Number:  k.beatNumber,
 		Version: m.ver,
+		Round:   m.rec.Round,
 		Alone:   k.alone == aloneAsked || k.alone == aloneOn,
 		Echo:    k.echo,
 		Table:   oriole.Table{Seq: table.Seq},
@@ -371,6 +372,7 @@
 	}
 	rec := m.rec.Clone()
 	rec.Deputy = next
+	rec.Round++
 	rec.Table = k.table.Clone()
 	k.frozen = true
 	m.write(now, oriole.PurposeDeputy, rec)
--- a/pkg/oriole/oriolegroup/machine.go
+++ b/pkg/oriole/oriolegroup/machine.go
@@ -1,6 +1,7 @@
 package oriolegroup
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -48,6 +49,10 @@
 	Leveler  oriole.Spreader
 	// Batch is the most slices that a planned move takes at once.
 	Batch int
+	// Restarted says that an earlier machine of this gateway may have acted
+	// for the group. What it promised is forgotten, so this one takes no part
+	// in the terms that it may have acted under.
+	Restarted bool
 }
 
 // Role is what a gateway is to a group.
@@ -90,17 +95,25 @@
 	opCount  uint64
 	out      []bool
 	leaving  bool
-	effects  []Effect
+	// barred and barredRound are the newest term and round in which a
+	// forgotten machine of this gateway may have acted.
+	barred      oriole.Term
+	barredRound uint64
+	effects     []Effect
 }
 
 // New returns the machine of a gateway that knows nothing of the group yet.
 func New(cfg Config) *Machine {
-	return &Machine{
+	m := &Machine{
 		cfg:     cfg,
 		out:     make([]bool, len(cfg.Servers)),
 		storeUp: true,
 		rec:     oriole.Record{Group: cfg.Group},
 	}
+	if cfg.Restarted {
+		m.barred = math.MaxUint64
+	}
+	return m
 }
 
 // Step applies one event at the given time and returns its effects in order.
@@ -195,11 +208,17 @@
 		m.committed(now, ver)
 		return
 	}
+	if m.barred == math.MaxUint64 {
+		m.barred = rec.Term.Reserved()
+		m.barredRound = rec.Round
+	}
 	previous := m.rec
 	wasDeputy := m.role == RoleDeputy
 	m.known = true
 	m.rec = rec.Clone()
 	m.ver = ver
+	// Whoever wrote the record lived a moment ago.
+	m.vacantSince = time.Time{}
 	if m.role == RoleKeeper {
 		m.yieldTo(rec.Term, rec.Keeper)
 		return
@@ -227,7 +246,7 @@
 // followRecord sets the role of a gateway that is not the keeper by the known
 // record.
 func (m *Machine) followRecord(now time.Time) {
-	if m.rec.Deputy != m.cfg.Self {
+	if m.rec.Deputy != m.cfg.Self || m.isBarred(m.rec.Term, m.rec.Round) {
 		m.role = RoleNone
 		m.deputy = deputyState{}
 		return
@@ -239,6 +258,12 @@
 	m.deputy = deputyState{term: m.rec.Term, lastBeat: now, table: m.rec.Table.Clone()}
 }
 
+// isBarred reports whether a forgotten machine of this gateway may have made
+// promises in the term and round.
+func (m *Machine) isBarred(term oriole.Term, round uint64) bool {
+	return term < m.barred&^1 || (term <= m.barred && round <= m.barredRound)
+}
+
 // yieldTo stands down if term is higher than the one this gateway serves.
 func (m *Machine) yieldTo(term oriole.Term, to oriole.GatewayID) {
 	if m.keeper == nil || term <= m.keeper.term {
--- a/pkg/oriole/oriolegroup/world_test.go
+++ b/pkg/oriole/oriolegroup/world_test.go
@@ -130,7 +130,7 @@
 		zone: oriole.ZoneName(fmt.Sprintf("z%d", n%3)),
 		rate: w.skew(),
 	}
-	w.restartMachine(g)
+	w.newMachine(g, false)
 	w.gateways = append(w.gateways, g)
 	w.after(time.Duration(w.rng.IntN(10))*time.Millisecond, func() { w.tickGateway(g) })
 	w.after(time.Duration(w.rng.IntN(200))*time.Millisecond, func() { w.probeStore(g) })
@@ -138,8 +138,8 @@
 	return g
 }
 
-// restartMachine gives the gateway a machine that remembers nothing.
-func (w *world) restartMachine(g *fakeGateway) {
+// newMachine gives the gateway a machine that remembers nothing.
+func (w *world) newMachine(g *fakeGateway, restarted bool) {
 	g.machine = New(Config{
 		Self:     g.id,
 		Zone:     g.zone,
@@ -151,6 +151,8 @@
 		Spreader: oriolespread.Even{},
 		Leveler:  oriolespread.Even{Level: true},
 		Batch:    4,
+
+		Restarted: restarted,
 	})
 }
 
--- a/pkg/oriole/record.go
+++ b/pkg/oriole/record.go
@@ -46,6 +46,8 @@
 	Term   Term
 	Keeper GatewayID
 	Deputy GatewayID
+	// Round counts the deputies of the term.
+	Round uint64
 	// Doubt says that gateways or servers of an earlier term may hold leases
 	// or a newer table that this record does not show.
 	Doubt bool
@@ -74,6 +76,7 @@
 		r.Term == other.Term &&
 		r.Keeper == other.Keeper &&
 		r.Deputy == other.Deputy &&
+		r.Round == other.Round &&
 		r.Doubt == other.Doubt &&
 		slices.Equal(r.Down, other.Down) &&
 		r.Table.Seq == other.Table.Seq &&
