Publish settings through the store and take zones out and in

Cause: operators could not change anything while the system ran. Change: apply and zone out|in write one versioned object conditionally, with read-back after a lost answer; two gateways a zone watch it, pass it on, and peers compare versions in their heartbeats, so an older one never returns. A gateway whose zone is out hands over its duties. Demo faults for zones, drain, rolling replacement, racing operators, cold, slow, crashing and draining upstreams, overload and hot keys.

--- a/internal/oriolecli/cli.go
+++ b/internal/oriolecli/cli.go
@@ -51,16 +51,27 @@
 	add(parser, "demo", "Run a whole system in one process", &demoCommand{env: env})
 	add(parser, "status", "Show the state of gateways", &statusCommand{env: env})
 	add(parser, "timeline", "Show the events of gateways in causal order", &timelineCommand{env: env})
+	add(parser, "apply", "Publish base settings to all sites", &applyCommand{env: env})
+	zone := add(parser, "zone", "Take an availability zone out, or back in", &struct{}{})
+	addTo(zone, "out", "Take an availability zone out", &zoneCommand{env: env, out: true})
+	addTo(zone, "in", "Take an availability zone back in", &zoneCommand{env: env})
 	add(parser, "drain", "Make a gateway hand over its duties and leave", &drainCommand{env: env})
 	return finish(parser, args, stdout, stderr)
 }
 
 // add registers a subcommand. The definitions are constant, so that an error
 // is a fault of the program.
-func add(parser *flags.Parser, name, short string, data any) {
-	if _, err := parser.AddCommand(name, short, short+".", data); err != nil {
+func add(parser *flags.Parser, name, short string, data any) *flags.Command {
+	return addTo(parser.Command, name, short, data)
+}
+
+// addTo registers a subcommand of a command.
+func addTo(parent *flags.Command, name, short string, data any) *flags.Command {
+	command, err := parent.AddCommand(name, short, short+".", data)
+	if err != nil {
 		panic(err)
 	}
+	return command
 }
 
 // finish parses and runs, and turns errors into exit statuses.
--- a/internal/oriolecli/run.go
+++ b/internal/oriolecli/run.go
@@ -88,7 +88,15 @@
 		return usageError{errors.New("settings: /secret: must be set to run a gateway")}
 	}
 	logger := &log.Logger{Handler: logfmt.New(c.env.stderr), Level: log.InfoLevel}
-	gateway, cleanup, err := oriolegateway.New(newID(vm.Name), &settings, vm, oriolegateway.WithLogger(logger))
+	options := []oriolegateway.Option{oriolegateway.WithLogger(logger)}
+	if c.Overlay != "" {
+		overlay, err := os.ReadFile(c.Overlay)
+		if err != nil {
+			return errors.Wrap(err, "reading the overlay")
+		}
+		options = append(options, oriolegateway.WithOverlay(overlay))
+	}
+	gateway, cleanup, err := oriolegateway.New(newID(vm.Name), &settings, vm, options...)
 	if err != nil {
 		return err
 	}
--- a/internal/orioledemo/load.go
+++ b/internal/orioledemo/load.go
@@ -46,6 +46,8 @@
 	open   sync.WaitGroup
 	slots  chan struct{}
 	number atomic.Uint64
+	factor atomic.Int64
+	shift  atomic.Uint64
 	turn   atomic.Uint64
 
 	mu       sync.Mutex
@@ -69,7 +71,7 @@
 
 func newLoad(s *system, rate int) *load {
 	rng := rand.New(rand.NewPCG(s.seed, 4))
-	return &load{
+	l := &load{
 		system: s,
 		client: &http.Client{
 			Timeout:   callerTimeout,
@@ -81,8 +83,16 @@
 		slots:   make(chan struct{}, maxOpen),
 		latency: hdrhistogram.New(1, callerTimeout.Microseconds(), 3),
 	}
+	l.factor.Store(1)
+	return l
 }
 
+// setRate multiplies the usual rate.
+func (l *load) setRate(factor int64) { l.factor.Store(factor) }
+
+// shiftKeys makes other keys the hot ones.
+func (l *load) shiftKeys() { l.shift.Add(stallKeys) }
+
 // run sends requests until ctx is done, and returns when all are answered.
 func (l *load) run(ctx context.Context) {
 	for i := range watchedKeys {
@@ -101,7 +111,7 @@
 			l.client.CloseIdleConnections()
 			return
 		}
-		due += float64(l.rate) * tick.Seconds()
+		due += float64(l.rate) * float64(l.factor.Load()) * tick.Seconds()
 		for ; due >= 1; due-- {
 			l.start(l.draw())
 		}
@@ -148,7 +158,7 @@
 // draw picks the next request: lookups and feed bookings by stall, tow
 // assignments and farrier call-outs.
 func (l *load) draw() request {
-	key := fmt.Sprintf("stall-%d", l.zipf.Uint64())
+	key := fmt.Sprintf("stall-%d", l.zipf.Uint64()+l.shift.Load())
 	switch n := l.rng.IntN(100); {
 	case n < 60:
 		return l.lookup(key)
--- a/internal/orioledemo/system.go
+++ b/internal/orioledemo/system.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -16,7 +17,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolegateway"
+	"github.com/orioleswitch/orioleswitch/internal/oriolegateway/oriolecontrol"
 	"github.com/orioleswitch/orioleswitch/internal/oriolejudge"
+	"github.com/orioleswitch/orioleswitch/internal/orioleplatform"
 	"github.com/orioleswitch/orioleswitch/internal/oriolestandin"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleconfig"
@@ -70,6 +73,8 @@
 	gateways []*member
 	started  int
 	cut      map[[2]oriole.GatewayID]bool
+	// published is the base file in the store, nil while there is none.
+	published []byte
 }
 
 // member is one gateway of the demo.
@@ -362,3 +367,58 @@
 	}
 	return nil
 }
+
+// settingsFile is the part of the demo's settings that it changes on the way,
+// as a base file.
+type settingsFile struct {
+	Name     string                                      `json:"name"`
+	Zones    []oriole.ZoneName                           `json:"zones"`
+	Out      []oriole.ZoneName                           `json:"out,omitempty"`
+	Platform netip.AddrPort                              `json:"platform"`
+	Secret   string                                      `json:"secret"`
+	Services map[oriole.ServiceName]orioleconfig.Service `json:"services"`
+}
+
+// base returns the contents of the base file in force.
+func (s *system) base() []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.published != nil {
+		return s.published
+	}
+	services := make(map[oriole.ServiceName]orioleconfig.Service)
+	for name, service := range s.settings.Services {
+		services[name] = service
+	}
+	data, err := json.Marshal(settingsFile{
+		Name:     s.settings.Name,
+		Zones:    s.settings.Zones,
+		Platform: s.settings.Platform,
+		Secret:   s.settings.Secret,
+		Services: services,
+	})
+	if err != nil {
+		// The types can all be written as JSON.
+		panic(err)
+	}
+	return data
+}
+
+// publish writes base settings to the store, as an operator's command does. Of
+// several that race only one may win.
+func (s *system) publish(value []byte) {
+	client, cleanup := orioleplatform.New(s.settings.Platform)
+	defer cleanup()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	var version oriole.Version
+	if object, err := client.Read(ctx, oriolecontrol.SettingsObject); err == nil {
+		version = object.Version
+	}
+	if _, err := client.Write(ctx, oriolecontrol.SettingsObject, value, version); err != nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.published = value
+}
--- a/internal/oriolegateway/gateway.go
+++ b/internal/oriolegateway/gateway.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -55,7 +56,9 @@
 	pass   func(oriole.GatewayID) bool
 	logger log.Interface
 	store  oriole.Store
-	seed   uint64
+	// overlay is nil if there is none.
+	overlay []byte
+	seed    uint64
 }
 
 // WithGate makes all duties wait at the gate, so that tests can pause the
@@ -72,6 +75,10 @@
 // WithStore sets the store in place of a client of the platform's address.
 func WithStore(store oriole.Store) Option { return func(o *options) { o.store = store } }
 
+// WithOverlay sets the contents of the site's overlay, with which base settings
+// that come from the store are merged.
+func WithOverlay(overlay []byte) Option { return func(o *options) { o.overlay = overlay } }
+
 // WithSeed sets the seed of the gateway's chance.
 func WithSeed(seed uint64) Option { return func(o *options) { o.seed = seed } }
 
@@ -199,7 +206,8 @@
 	}
 	g.control = oriolecontrol.New(oriolecontrol.Config{
 		Self:     g.self,
-		Settings: g.settings.Load(),
+		Settings: g.settings.Load,
+		Apply:    g.apply,
 		Timers:   timers,
 		Store:    store,
 		Granter:  func(service oriole.ServiceName) oriole.Granter { return g.serverClient(service) },
@@ -257,20 +265,33 @@
 	return view.Deputy
 }
 
-// Apply brings settings into force that concern availability zones and
-// draining.
-func (g *Gateway) Apply(settings *orioleconfig.Settings) {
-	g.settings.Store(settings)
-	g.control.Apply(settings)
+// apply brings a stored base, merged with this site's overlay, into force.
+func (g *Gateway) apply(object oriole.Object) bool {
+	current := g.settings.Load()
+	next, err := orioleconfig.Overlay(object.Value, "overlay", g.opts.overlay)
+	if err == nil {
+		err = orioleconfig.CheckChange(current, &next)
+	}
+	if err != nil {
+		g.opts.logger.WithError(err).WithField("version", object.Version).Error("settings refused")
+		return false
+	}
+	if next.Zone == "" {
+		next.Zone, next.VMs = current.Zone, current.VMs
+	}
+	g.settings.Store(&next)
+	return true
 }
 
 // Ready reports whether the balancer should send callers here: the gateway is
 // not stopping and knows a keeper of every group.
 func (g *Gateway) Ready() bool {
-	if g.stopping.Load() {
+	settings := g.settings.Load()
+	_, known := g.control.Settings()
+	if g.stopping.Load() || !known || slices.Contains(settings.Out, settings.Zone) {
 		return false
 	}
-	for _, group := range g.settings.Load().Groups() {
+	for _, group := range settings.Groups() {
 		if view, _ := g.control.View(group.ID); view.Keeper == "" {
 			return false
 		}
--- a/internal/oriolegateway/operators.go
+++ b/internal/oriolegateway/operators.go
@@ -46,6 +46,7 @@
 // Status returns the gateway's state.
 func (g *Gateway) Status() Status {
 	settings := g.settings.Load()
+	version, _ := g.control.Settings()
 	status := Status{
 		Gateway: g.self.ID,
 		Zone:    g.self.Zone,
@@ -55,7 +56,9 @@
 		Peers:   g.peers.Len(),
 		Open:    g.entry.Open(),
 		Out:     settings.Out,
-		Groups:  g.control.Status(),
+
+		Settings: version,
+		Groups:   g.control.Status(),
 	}
 	for _, group := range settings.Groups() {
 		if g.work.Keeps(group.ID) {
--- a/internal/oriolegateway/oriolecontrol/balance.go
+++ b/internal/oriolegateway/oriolecontrol/balance.go
@@ -17,7 +17,7 @@
 // balance hands one group over when this gateway is in charge of more than its
 // share and another of less.
 func (d *decider) balance(now time.Time) {
-	if now.Sub(d.changed) < calmTime || d.control.leaving.Load() || !d.control.storeUp.Load() {
+	if now.Sub(d.changed) < calmTime || d.control.leaving.Load() || d.control.yielding.Load() || !d.control.storeUp.Load() {
 		return
 	}
 	kept := make(map[oriole.GatewayID]int)
--- a/internal/oriolegateway/oriolecontrol/control.go
+++ b/internal/oriolegateway/oriolecontrol/control.go
@@ -49,6 +49,9 @@
 // recordPrefix begins the names of the groups' objects in the store.
 const recordPrefix = "group/"
 
+// SettingsObject is the name of the object that holds the base settings.
+const SettingsObject = "settings"
+
 // Network is what the subtree needs of the connections to peers.
 type Network interface {
 	Send(to oriole.GatewayID, frame *oriolewire.Frame) bool
@@ -59,11 +62,14 @@
 // Config describes the subtree.
 type Config struct {
 	Self     oriole.Member
-	Settings *orioleconfig.Settings
+	Settings func() *orioleconfig.Settings
 	Timers   oriole.Timers
 	Store    oriole.Store
 	Granter  func(oriole.ServiceName) oriole.Granter
 	Network  Network
+	// Apply brings a stored settings object into force, and reports whether it
+	// could. Objects come in the order of their versions.
+	Apply func(object oriole.Object) bool
 	// Route publishes the routing of a group; Busy tells whether requests run
 	// on a slice.
 	Route    func(oriole.GroupID, *oriole.Routing)
@@ -88,6 +94,10 @@
 	free     atomic.Bool
 	storeUp  atomic.Bool
 	status   atomic.Pointer[[]GroupStatus]
+	version  atomic.Uint64
+	known    atomic.Bool
+	// yielding says that this gateway's availability zone is out.
+	yielding atomic.Bool
 }
 
 // input is one entry of the deciding duty's ring.
@@ -103,7 +113,8 @@
 	// connected names a peer to which the views of this gateway are news.
 	connected oriole.GatewayID
 	pulse     *pulse
-	out       *orioleconfig.Settings
+	// current says that objects are all that the store has.
+	current bool
 }
 
 // pulse is the result of asking the store whether it answers.
@@ -114,7 +125,7 @@
 	c := &Control{
 		Supervisor: suture.New("control", spec),
 		cfg:        cfg,
-		groups:     cfg.Settings.Groups(),
+		groups:     cfg.Settings().Groups(),
 		in:         oriolering.New[input](inputRing),
 		store:      oriolering.New[storeCall](storeRing),
 	}
@@ -150,17 +161,18 @@
 	c.in.Offer(input{group: group, event: oriolegroup.ServerSuspect{Server: server}})
 }
 
-// Apply takes settings that have come into force: which servers are out.
-func (c *Control) Apply(s *orioleconfig.Settings) {
-	c.in.Offer(input{out: s})
-}
-
 // Leave asks all machines to hand their duties over.
 func (c *Control) Leave() {
 	c.leaving.Store(true)
 	c.in.Offer(input{event: oriolegroup.Leave{}})
 }
 
+// Settings returns the version of the settings in force, 0 for those of the
+// file, and whether it is known that there is no newer one.
+func (c *Control) Settings() (version oriole.Version, known bool) {
+	return oriole.Version(c.version.Load()), c.known.Load()
+}
+
 // Free reports whether this gateway has no duty left.
 func (c *Control) Free() bool { return c.free.Load() }
 
@@ -211,8 +223,8 @@
 		Group:    g.ID,
 		Servers:  g.Servers,
 		Slices:   g.Slices,
-		Fenced:   c.cfg.Settings.Services[g.Service].Fenced,
-		Timing:   c.cfg.Settings.Timing(g.Service),
+		Fenced:   c.cfg.Settings().Services[g.Service].Fenced,
+		Timing:   c.cfg.Settings().Timing(g.Service),
 		Spreader: oriolespread.Even{},
 		Leveler:  oriolespread.Even{Level: true},
 		Batch:    moveBatch,
--- a/internal/oriolegateway/oriolecontrol/decide.go
+++ b/internal/oriolegateway/oriolecontrol/decide.go
@@ -24,6 +24,10 @@
 	lastUp   time.Time
 	sight    time.Time
 	balanced time.Time
+	// settings is the stored object in force, and resent tells when each peer
+	// was sent a copy.
+	settings oriole.Object
+	resent   map[oriole.GatewayID]time.Time
 	// changed is when the members changed last.
 	changed time.Time
 }
@@ -50,6 +54,7 @@
 	d.machines = make(map[oriole.GroupID]*machine)
 	d.order = nil
 	d.members = newMembership(c.cfg.Self)
+	d.resent = make(map[oriole.GatewayID]time.Time)
 	for _, g := range c.groups {
 		m := &machine{
 			spec:   g,
@@ -60,7 +65,7 @@
 		d.order = append(d.order, m)
 		c.cfg.Route(g.ID, &oriole.Routing{})
 	}
-	d.applyOut(c.cfg.Settings)
+	d.applyOut(c.cfg.Settings())
 }
 
 // Serve implements suture.Service.
@@ -94,12 +99,13 @@
 	case in.members != nil:
 		d.members.setListed(in.members, now)
 		d.control.cfg.Network.SetMembers(in.members)
-	case in.objects != nil:
+	case in.objects != nil || in.current:
 		d.watched(in.objects)
+		if in.current {
+			d.control.known.Store(true)
+		}
 	case in.pulse != nil:
 		d.pulsed(in.pulse.up)
-	case in.out != nil:
-		d.applyOut(in.out)
 	case in.group != "":
 		if m := d.machines[in.group]; m != nil {
 			d.step(m, in.event)
@@ -175,16 +181,19 @@
 }
 
 func (d *decider) silence() time.Duration {
-	return 2 * time.Duration(d.control.cfg.Settings.Lease.Silence)
+	return 2 * time.Duration(d.control.cfg.Settings().Lease.Silence)
 }
 
 func (d *decider) sendSight(now time.Time) {
 	c := d.control
 	c.cfg.Network.Broadcast(&oriolewire.Frame{Sight: &oriolewire.Sight{
 		Lost:    d.members.lost(now, d.silence()),
-		Leaving: c.leaving.Load(),
+		Leaving: c.leaving.Load() || c.yielding.Load(),
 		Store:   c.storeUp.Load(),
 		Clock:   c.cfg.Timeline.Clock(),
+
+		Settings: c.version.Load(),
+		Known:    c.known.Load(),
 	}})
 }
 
@@ -193,6 +202,7 @@
 	for _, m := range d.order {
 		d.step(m, oriolegroup.ServersOut{Out: s.OutServers(m.spec)})
 	}
+	d.checkZone()
 }
 
 func (d *decider) stepAll(event oriolegroup.Event) {
@@ -312,6 +322,12 @@
 		}
 	case frame.Sight != nil:
 		d.sighted(from, frame.Sight)
+	case frame.Object != nil && frame.Object.Name == SettingsObject:
+		d.applySettings(oriole.Object{
+			Name:    frame.Object.Name,
+			Version: oriole.Version(frame.Object.Version),
+			Value:   frame.Object.Value,
+		})
 	}
 	m := d.machines[group]
 	switch {
@@ -348,6 +364,7 @@
 func (d *decider) sighted(from oriole.GatewayID, s *oriolewire.Sight) {
 	now := d.control.cfg.Timers.Now()
 	d.control.cfg.Timeline.Observe(s.Clock)
+	d.compareSettings(from, s, now)
 	d.members.sighted(from, s, now)
 	if !d.control.watching.Load() {
 		if up, known := d.members.storeSeen(now, d.silence()); known {
@@ -364,7 +381,7 @@
 	if up {
 		d.lastUp = now
 	}
-	healthy := up || now.Sub(d.lastUp) < time.Duration(c.cfg.Settings.Lease.Silence)
+	healthy := up || now.Sub(d.lastUp) < time.Duration(c.cfg.Settings().Lease.Silence)
 	if healthy != c.storeUp.Load() {
 		kind := "store-away"
 		if healthy {
@@ -379,6 +396,10 @@
 // watched takes in objects that changed in the store and passes them on.
 func (d *decider) watched(objects []oriole.Object) {
 	for _, object := range objects {
+		if object.Name == SettingsObject {
+			d.applySettings(object)
+			continue
+		}
 		name, isGroup := strings.CutPrefix(object.Name, recordPrefix)
 		m := d.machines[oriole.GroupID(name)]
 		if !isGroup || m == nil {
--- a/internal/oriolegateway/oriolecontrol/duties.go
+++ b/internal/oriolegateway/oriolecontrol/duties.go
@@ -136,7 +136,7 @@
 }
 
 func (d *grantDuty) grant(ctx context.Context, grant oriole.Grant) oriolegroup.GrantDone {
-	timeout := time.Duration(d.control.cfg.Settings.Lease.Silence) / 2
+	timeout := time.Duration(d.control.cfg.Settings().Lease.Silence) / 2
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	d.control.cfg.Metrics.Add("grants", 1)
@@ -147,7 +147,7 @@
 	return oriolegroup.GrantDone{Grant: grant, Reply: reply, Failed: err != nil}
 }
 
-// watchDuty watches the groups' records while this gateway is one of the
+// watchDuty watches the records and settings while this gateway is one of the
 // watchers of its zone.
 type watchDuty struct{ control *Control }
 
@@ -159,6 +159,8 @@
 	ticks, stop := c.cfg.Timers.Subscribe(sightInterval)
 	defer stop()
 	var revision oriole.Version
+	// The first answer tells what there is, even if that is nothing.
+	wait := time.Duration(0)
 	for {
 		select {
 		case <-ticks:
@@ -166,30 +168,29 @@
 			return ctx.Err()
 		}
 		for c.watching.Load() && ctx.Err() == nil {
-			next, err := d.watch(ctx, revision)
+			next, err := d.watch(ctx, revision, wait)
 			if err != nil {
 				break
 			}
 			revision = next
+			wait = watchWait
 		}
 	}
 }
 
 // watch waits for one change and returns the revision to go on from.
-func (d *watchDuty) watch(ctx context.Context, after oriole.Version) (oriole.Version, error) {
+func (d *watchDuty) watch(ctx context.Context, after oriole.Version, wait time.Duration) (oriole.Version, error) {
 	c := d.control
 	c.cfg.Gate.Wait(ctx)
 	c.cfg.Metrics.Add("store_watches", 1)
-	watchCtx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+	watchCtx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	objects, revision, err := c.cfg.Store.Watch(watchCtx, recordPrefix, after, watchWait)
+	objects, revision, err := c.cfg.Store.Watch(watchCtx, "", after, wait)
 	if err != nil {
 		return after, err
 	}
 	c.cfg.Gate.Wait(ctx)
-	if len(objects) > 0 {
-		err = c.in.Put(ctx, input{objects: objects})
-	}
+	err = c.in.Put(ctx, input{objects: objects, current: true})
 	return revision, err
 }
 
--- a/internal/oriolewire/wire_gen.go
+++ b/internal/oriolewire/wire_gen.go
@@ -359,12 +359,19 @@
 	// Clock corresponds to the JSON schema field "clock".
 	Clock uint64 `json:"clock"`
 
+	// Known corresponds to the JSON schema field "known".
+	Known bool `json:"known"`
+
 	// Leaving corresponds to the JSON schema field "leaving".
 	Leaving bool `json:"leaving"`
 
 	// Lost corresponds to the JSON schema field "lost".
 	Lost []string `json:"lost"`
 
+	// Settings is the version in force; Known says that the sender is sure that there
+	// is no newer one.
+	Settings uint64 `json:"settings"`
+
 	// Store corresponds to the JSON schema field "store".
 	Store bool `json:"store"`
 }
--- a/pkg/oriole/orioleconfig/settings.go
+++ b/pkg/oriole/orioleconfig/settings.go
@@ -62,7 +62,7 @@
 // Service describes one service.
 type Service struct {
 	Divided    bool       `json:"divided"`
-	Slices     int        `json:"slices"`
+	Slices     int        `json:"slices,omitempty"`
 	Groups     int        `json:"groups"`
 	Fenced     bool       `json:"fenced"`
 	Idempotent []string   `json:"idempotent"`
--- a/pkg/oriole/oriolegroup/event.go
+++ b/pkg/oriole/oriolegroup/event.go
@@ -110,8 +110,11 @@
 	To oriole.GatewayID
 }
 
-// Leave asks the machine to hand its duties over.
-type Leave struct{}
+// Leave asks the machine to hand its duties over, and to take none until it
+// may stay again.
+type Leave struct {
+	Stay bool
+}
 
 func (Tick) event()           {}
 func (BeatReceived) event()   {}
--- a/pkg/oriole/oriolegroup/machine.go
+++ b/pkg/oriole/oriolegroup/machine.go
@@ -149,7 +149,7 @@
 	case ServerSuspect:
 		m.serverSuspect(now, e.Server)
 	case Leave:
-		m.leaving = true
+		m.leaving = !e.Stay
 	}
 	return m.effects
 }
--- a/pkg/oriole/oriolegroup/move.go
+++ b/pkg/oriole/oriolegroup/move.go
@@ -11,8 +11,13 @@
 // slices are evened out, so that a server that comes and goes causes no moves.
 const settleTime = 2 * time.Second
 
-// moveInterval is the least time between two planned batches.
-const moveInterval = 100 * time.Millisecond
+// moveInterval is the least time between two planned batches that empty a
+// server, levelInterval between two that even out: those may go to servers that
+// are cold, and nobody waits for them.
+const (
+	moveInterval  = 100 * time.Millisecond
+	levelInterval = 400 * time.Millisecond
+)
 
 // planMoves decides which slices change their server. One change is under way
 // at a time.
@@ -146,7 +151,7 @@
 	var target oriole.Table
 	if m.ownsOnOut() {
 		target = m.cfg.Spreader.Spread(k.table, m.keepLive(usable))
-	} else if m.settled(now, usable) {
+	} else if m.settled(now, usable) && now.Sub(k.lastMove) >= levelInterval {
 		target = m.cfg.Leveler.Spread(k.table, usable)
 	} else {
 		return
