Follow servers that drain, and give duties only to gateways that are heard

Change: a server says in its lease renewal that it drains, and its slices move off; a new keeper chooses its deputy among those it hears; a run of 2.5 times a server's mean drops its limit at once; blamed requests that wait are refused.

--- a/internal/oriolegateway/gateway.go
+++ b/internal/oriolegateway/gateway.go
@@ -307,7 +307,10 @@
 	// balancerTime lets the balancer see that the gateway is not ready.
 	balancerTime = 300 * time.Millisecond
 	leaveTimeout = 10 * time.Second
-	leavePoll    = 10 * time.Millisecond
+	// lingerTime lets the last answers to peers leave, and peers learn of the
+	// new keepers.
+	lingerTime = 200 * time.Millisecond
+	leavePoll  = 10 * time.Millisecond
 )
 
 // Leave hands over all duties and finishes the requests in progress. Serve
@@ -326,6 +329,9 @@
 			return err
 		}
 	}
+	if err := sleep(ctx, lingerTime); err != nil {
+		return err
+	}
 	return g.callers.Shutdown(ctx)
 }
 
--- a/internal/oriolegateway/oriolecontrol/balance.go
+++ b/internal/oriolegateway/oriolecontrol/balance.go
@@ -26,7 +26,7 @@
 	}
 	var fewest oriole.GatewayID
 	for _, c := range d.members.last {
-		if c.Alive && (fewest == "" || kept[c.ID] < kept[fewest]) {
+		if c.Fit && (fewest == "" || kept[c.ID] < kept[fewest]) {
 			fewest = c.ID
 		}
 	}
--- a/internal/oriolegateway/oriolecontrol/control.go
+++ b/internal/oriolegateway/oriolecontrol/control.go
@@ -111,7 +111,7 @@
 	members []oriole.Member
 	objects []oriole.Object
 	// connected names a peer to which the views of this gateway are news.
-	connected oriole.GatewayID
+	connected *oriole.Member
 	pulse     *pulse
 	// current says that objects are all that the store has.
 	current bool
@@ -153,7 +153,7 @@
 
 // Connected takes the news that a link with a peer has begun.
 func (c *Control) Connected(peer oriole.Member) {
-	c.in.Offer(input{connected: peer.ID})
+	c.in.Offer(input{connected: &peer})
 }
 
 // Suspect tells the group's machine that a server could not be reached.
--- a/internal/oriolegateway/oriolecontrol/decide.go
+++ b/internal/oriolegateway/oriolecontrol/decide.go
@@ -94,8 +94,11 @@
 	case in.frame != nil:
 		d.members.heard(in.from, now)
 		d.receive(in.from, in.frame)
-	case in.connected != "":
-		d.sendViews(in.connected)
+	case in.connected != nil:
+		// The list may not show the peer yet, which has dialled already.
+		d.control.cfg.Network.SetMembers([]oriole.Member{*in.connected})
+		d.members.introduce(*in.connected)
+		d.sendViews(in.connected.ID)
 	case in.members != nil:
 		d.members.setListed(in.members, now)
 		d.control.cfg.Network.SetMembers(in.members)
--- a/internal/oriolegateway/oriolecontrol/membership.go
+++ b/internal/oriolegateway/oriolecontrol/membership.go
@@ -45,6 +45,14 @@
 	return k
 }
 
+// introduce takes what a peer says of itself until the list shows it.
+func (m *membership) introduce(member oriole.Member) {
+	k := m.get(member.ID)
+	if k.listed.IsZero() {
+		k.member = member
+	}
+}
+
 func (m *membership) heard(id oriole.GatewayID, now time.Time) { m.get(id).heard = now }
 
 func (m *membership) setListed(members []oriole.Member, now time.Time) {
@@ -89,8 +97,13 @@
 func (m *membership) candidates(now time.Time, silence time.Duration) ([]oriolegroup.Candidate, bool) {
 	var all []oriolegroup.Candidate
 	for id, k := range m.known {
-		alive := id == m.self.ID || m.alive(id, k, now, silence)
-		all = append(all, oriolegroup.Candidate{ID: id, Zone: k.member.Zone, Alive: alive && !k.leaving})
+		self := id == m.self.ID
+		all = append(all, oriolegroup.Candidate{
+			ID:    id,
+			Zone:  k.member.Zone,
+			Alive: self || m.alive(id, k, now, silence),
+			Fit:   self || (now.Sub(k.heard) <= silence && !k.leaving),
+		})
 	}
 	slices.SortFunc(all, func(a, b oriolegroup.Candidate) int {
 		if a.ID < b.ID {
--- a/internal/orioleserver/client.go
+++ b/internal/orioleserver/client.go
@@ -233,8 +233,11 @@
 }
 
 func refusal(word string) oriole.Reason {
-	if word == RefusedFence {
+	switch word {
+	case RefusedFence:
 		return oriole.ReasonFenced
+	case RefusedDrain:
+		return oriole.ReasonDrain
 	}
 	return oriole.ReasonShed
 }
--- a/internal/oriolestandin/upstream.go
+++ b/internal/oriolestandin/upstream.go
@@ -277,6 +277,7 @@
 	u.mu.Lock()
 	u.group = g.Group
 	reply := u.holder.Apply(u.clock(), g)
+	reply.Draining = u.draining
 	stopped := u.stopped
 	u.mu.Unlock()
 	if stopped {
--- a/internal/oriolewire/convert.go
+++ b/internal/oriolewire/convert.go
@@ -317,6 +317,7 @@
 		Seq:         r.Seq,
 		Owned:       r.Owned,
 		Held:        r.Held,
+		Draining:    r.Draining,
 	}
 }
 
@@ -330,6 +331,7 @@
 		Seq:         r.Seq,
 		Owned:       r.Owned,
 		Held:        r.Held,
+		Draining:    r.Draining,
 	}
 }
 
--- a/internal/oriolewire/wire_gen.go
+++ b/internal/oriolewire/wire_gen.go
@@ -217,6 +217,9 @@
 	// Accepted corresponds to the JSON schema field "accepted".
 	Accepted bool `json:"accepted"`
 
+	// Draining says that the server wants to leave.
+	Draining bool `json:"draining"`
+
 	// Held corresponds to the JSON schema field "held".
 	Held bool `json:"held"`
 
--- a/pkg/oriole/message.go
+++ b/pkg/oriole/message.go
@@ -75,6 +75,9 @@
 	Seq   uint64
 	Owned []int
 	Held  bool
+	// Draining says that the server wants to leave: it is to give up its
+	// slices and get no new work.
+	Draining bool
 }
 
 // Purpose names what an outgoing store write is for.
--- a/pkg/oriole/oriolegroup/deputy.go
+++ b/pkg/oriole/oriolegroup/deputy.go
@@ -286,13 +286,13 @@
 	return rank
 }
 
-// chooseDeputy returns the first live gateway by rank, one of another zone if
+// chooseDeputy returns the first fit gateway by rank, one of another zone if
 // there is any; never this gateway or the one to avoid.
 func (m *Machine) chooseDeputy(avoid oriole.GatewayID) oriole.GatewayID {
 	var best Candidate
 	var bestRank uint64
 	for _, c := range m.members {
-		if !c.Alive || c.ID == m.cfg.Self || c.ID == avoid {
+		if !c.Fit || c.ID == m.cfg.Self || c.ID == avoid {
 			continue
 		}
 		rank := oriolehash.Rank(string(m.cfg.Group), string(c.ID))
--- a/pkg/oriole/oriolegroup/event.go
+++ b/pkg/oriole/oriolegroup/event.go
@@ -76,11 +76,14 @@
 	Version oriole.Version
 }
 
-// Candidate is a gateway that may take a duty.
+// Candidate is a gateway as others know it.
 type Candidate struct {
-	ID    oriole.GatewayID
-	Zone  oriole.ZoneName
+	ID   oriole.GatewayID
+	Zone oriole.ZoneName
+	// Alive says that nothing shows it to be lost, so its duties are its own.
 	Alive bool
+	// Fit says that this gateway hears it, and that it may take new duties.
+	Fit bool
 }
 
 // MembersChanged carries all known gateways, this one included.
--- a/pkg/oriole/oriolegroup/keeper.go
+++ b/pkg/oriole/oriolegroup/keeper.go
@@ -346,13 +346,13 @@
 	}
 	silent := now.Sub(k.ackAt) > m.cfg.Timing.Silence
 	wanted := k.successor == "" || k.successor == k.deputy
-	if k.deputy != "" && !silent && m.alive(k.deputy) && wanted {
+	if k.deputy != "" && !silent && m.fit(k.deputy) && wanted {
 		return
 	}
 	next := m.chooseDeputy(k.deputy)
 	if k.successor != "" {
 		next = k.successor
-		if silent || !m.alive(next) {
+		if silent || !m.fit(next) {
 			k.successor = ""
 			next = m.chooseDeputy(k.deputy)
 		}
@@ -444,7 +444,7 @@
 	if !m.leaving && !succeeds {
 		return
 	}
-	if k.deputy == "" || !m.alive(k.deputy) || now.Sub(k.ackAt) > m.cfg.Timing.Silence {
+	if k.deputy == "" || !m.fit(k.deputy) || now.Sub(k.ackAt) > m.cfg.Timing.Silence {
 		k.handingOver = false
 		return
 	}
@@ -460,7 +460,9 @@
 	rec := m.rec.Clone()
 	rec.Term = k.term.NextStored()
 	rec.Keeper = k.deputy
-	rec.Deputy = m.chooseDeputy(k.deputy)
+	// The new keeper chooses its deputy among those that it hears itself.
+	rec.Deputy = ""
+	rec.Round++
 	rec.Table = k.table.Clone()
 	k.frozen = true
 	m.write(now, oriole.PurposeHandover, rec)
@@ -468,7 +470,7 @@
 
 // handOver names the gateway that this group is to be handed over to.
 func (m *Machine) handOver(to oriole.GatewayID) {
-	if m.keeper != nil && to != m.cfg.Self && m.alive(to) {
+	if m.keeper != nil && to != m.cfg.Self && m.fit(to) {
 		m.keeper.successor = to
 	}
 }
--- a/pkg/oriole/oriolegroup/lease.go
+++ b/pkg/oriole/oriolegroup/lease.go
@@ -40,6 +40,8 @@
 	// releaseFrom is the newest grant that may still hold a slice that moves.
 	releaseFrom uint64
 
+	// draining is the server's own word.
+	draining     bool
 	failingSince time.Time
 	lost         bool
 	stable       time.Time
@@ -159,6 +161,7 @@
 	s.mark = reply.Mark
 	s.markSent = s.sentAt
 	s.markRecv = now
+	s.draining = reply.Draining
 	if s.incarnation != reply.Incarnation {
 		s.incarnation = reply.Incarnation
 		s.heldUntil = time.Time{}
--- a/pkg/oriole/oriolegroup/machine.go
+++ b/pkg/oriole/oriolegroup/machine.go
@@ -281,6 +281,11 @@
 	return slices.ContainsFunc(m.members, func(c Candidate) bool { return c.ID == id })
 }
 
+// fit reports whether the gateway may be given duties.
+func (m *Machine) fit(id oriole.GatewayID) bool {
+	return slices.ContainsFunc(m.members, func(c Candidate) bool { return c.ID == id && c.Fit })
+}
+
 func (m *Machine) alive(id oriole.GatewayID) bool {
 	for _, c := range m.members {
 		if c.ID == id {
--- a/pkg/oriole/oriolegroup/move.go
+++ b/pkg/oriole/oriolegroup/move.go
@@ -123,11 +123,17 @@
 	for i := range usable {
 		s := &m.keeper.servers[i]
 		up := !s.lost && s.failingSince.IsZero() && (s.fenced || !m.cfg.Fenced)
-		usable[i] = up && !m.out[i] && !m.rec.IsDown(i)
+		usable[i] = up && !m.isOut(i) && !m.rec.IsDown(i)
 	}
 	return usable
 }
 
+// isOut reports whether the server must not own slices: operators say so, or
+// it drains.
+func (m *Machine) isOut(server int) bool {
+	return m.out[server] || m.keeper.servers[server].draining
+}
+
 func (m *Machine) moving() bool {
 	for _, to := range m.keeper.movingTo {
 		if to != oriole.NoServer {
@@ -165,14 +171,14 @@
 	kept := slices.Clone(usable)
 	for i := range kept {
 		s := &m.keeper.servers[i]
-		kept[i] = kept[i] || (!m.out[i] && !s.lost && s.fenced && !m.rec.IsDown(i))
+		kept[i] = kept[i] || (!m.isOut(i) && !s.lost && s.fenced && !m.rec.IsDown(i))
 	}
 	return kept
 }
 
 func (m *Machine) ownsOnOut() bool {
 	for _, owner := range m.keeper.table.Owner {
-		if owner != oriole.NoServer && m.out[owner] {
+		if owner != oriole.NoServer && m.isOut(owner) {
 			return true
 		}
 	}
@@ -184,7 +190,7 @@
 func (m *Machine) settled(now time.Time, usable []bool) bool {
 	for i, ok := range usable {
 		s := &m.keeper.servers[i]
-		if m.out[i] || s.lost || m.rec.IsDown(i) {
+		if m.isOut(i) || s.lost || m.rec.IsDown(i) {
 			continue
 		}
 		if !ok || s.stable.IsZero() || now.Sub(s.stable) < settleTime {
--- a/pkg/oriole/oriolegroup/routing.go
+++ b/pkg/oriole/oriolegroup/routing.go
@@ -20,13 +20,14 @@
 		Until:       make([]time.Time, len(k.servers)),
 		Incarnation: make([]uint64, len(k.servers)),
 		Lost:        make([]bool, len(k.servers)),
-		Out:         slices.Clone(m.out),
+		Out:         make([]bool, len(k.servers)),
 		Closing:     k.handingOver,
 	}
 	for i := range k.servers {
 		r.Until[i] = m.workUntil(&k.servers[i])
 		r.Incarnation[i] = k.servers[i].incarnation
 		r.Lost[i] = k.servers[i].lost
+		r.Out[i] = m.isOut(i)
 	}
 	for slice, owner := range r.Owner {
 		if owner == oriole.NoServer || !m.holds(owner, slice) {
--- a/pkg/oriole/oriolegroup/world_test.go
+++ b/pkg/oriole/oriolegroup/world_test.go
@@ -433,8 +433,8 @@
 		w.after(300*time.Millisecond, func() {
 			var members []Candidate
 			for _, other := range w.gateways {
-				alive := !other.dead && !other.paused && !other.leaving && w.heard(g, other)
-				members = append(members, Candidate{ID: other.id, Zone: other.zone, Alive: alive})
+				alive := !other.dead && !other.paused && w.heard(g, other)
+				members = append(members, Candidate{ID: other.id, Zone: other.zone, Alive: alive, Fit: alive && !other.leaving})
 			}
 			w.deliver(g, MembersChanged{Members: members})
 		})
--- a/pkg/oriole/oriolequeue/limit.go
+++ b/pkg/oriole/oriolequeue/limit.go
@@ -15,10 +15,12 @@
 const normalFactor = 1.5
 
 // jumpFactor is how many times the server's own mean a run takes when it
-// points to a cold start; jumpRuns such runs in a row drop the limit.
+// points to a cold start; jumpRuns such runs in a row drop the limit. A cold
+// server falls at the next request too many, while a limit that was dropped for
+// a moment's straggler is back after a few runs.
 const (
-	jumpFactor = 6
-	jumpRuns   = 3
+	jumpFactor = 2.5
+	jumpRuns   = 1
 )
 
 // limit is the number of requests that may run on a server at once. It starts
@@ -53,7 +55,7 @@
 // completed takes in the time of a run, the server's own mean before it, and
 // the normal time, 0 if it is not known.
 func (l *limit) completed(took, mean, usual time.Duration) {
-	if mean > 0 && took > jumpFactor*mean {
+	if mean > 0 && float64(took) > jumpFactor*float64(mean) {
 		l.slow++
 		if l.slow >= jumpRuns {
 			l.drop()
--- a/pkg/oriole/oriolequeue/queue.go
+++ b/pkg/oriole/oriolequeue/queue.go
@@ -300,6 +300,9 @@
 		s.completed(now.Sub(job.started), q.usual)
 		q.learnUsual(s)
 		q.blame.cleared(job.print)
+	case answer.Reason == oriole.ReasonDrain:
+		// The keeper moves its slices away; requests wait for that.
+		s.pauseUntil = now.Add(connectPause)
 	case answer.Reason == oriole.ReasonShed:
 		s.limit.drop()
 		s.pauseUntil = now.Add(shedPause)
@@ -348,7 +351,7 @@
 	if answer.Outcome == oriole.OutcomeNotRun {
 		// A lease that is about to be renewed or moved costs the servers
 		// nothing, so it does not use the budget.
-		return answer.Reason == oriole.ReasonFenced || q.budget.spend()
+		return answer.Reason == oriole.ReasonFenced || answer.Reason == oriole.ReasonDrain || q.budget.spend()
 	}
 	return job.Request.Idempotent && q.budget.spend()
 }
@@ -453,6 +456,12 @@
 			return
 		}
 		job := s.line.peek()
+		if q.blame.blocked(now, job.print) {
+			s.line.pop()
+			q.queued--
+			q.reply(now, job, oriole.Refuse(oriole.ReasonCrash))
+			continue
+		}
 		solo := q.blame.suspected(now, job.print)
 		if solo && s.running > 0 {
 			return
--- a/pkg/oriole/request.go
+++ b/pkg/oriole/request.go
@@ -47,13 +47,14 @@
 	ReasonRepeat
 	ReasonShutdown
 	ReasonTooLarge
+	ReasonDrain
 	reasonCount
 )
 
 var reasonNames = [...]string{
 	"none", "queue-full", "deadline", "no-owner", "not-keeper", "shed",
 	"fenced", "connection", "bad-answer", "crash", "cancelled", "repeat",
-	"shutdown", "too-large",
+	"shutdown", "too-large", "drain",
 }
 
 // String returns the reason as callers see it in a header.
