Tell every gateway of a blamed request, and let the demo's gateways outlive its load

Cause: a request that crashes servers took 4 of them: the gateway that the group was handed over to had not heard of it. The 21 requests that rolling-replace cut were cut by the demo, which ended its new gateways with the load. Change: blame reaches the queues of the same group elsewhere; the demo's gateways end after the load. Conclusion: what one keeper learns must be where the group may go next.

--- a/internal/orioledemo/faults.go
+++ b/internal/orioledemo/faults.go
@@ -163,7 +163,7 @@
 		}
 	}
 	for range f.members {
-		_, _ = f.system.addGateway(f.ctx, zone)
+		_, _ = f.system.addGateway(zone)
 	}
 }
 
@@ -244,7 +244,7 @@
 			return
 		}
 		f.leave(m)
-		if _, err := f.system.addGateway(f.ctx, m.zone); err != nil {
+		if _, err := f.system.addGateway(m.zone); err != nil {
 			return
 		}
 	}
--- a/internal/orioledemo/system.go
+++ b/internal/orioledemo/system.go
@@ -60,6 +60,8 @@
 
 // system is the whole demo: platform, upstreams and gateways.
 type system struct {
+	// ctx ends with the demo, after the load.
+	ctx       context.Context
 	seed      uint64
 	layout    layout
 	judge     *oriolejudge.Judge
@@ -130,6 +132,7 @@
 func newSystem(ctx context.Context, sizes layout, seed uint64, logger log.Interface) (s *system, cleanup func(), err error) {
 	defer func() { err = errors.Wrap(err, "starting the demo") }()
 	s = &system{
+		ctx:    ctx,
 		seed:   seed,
 		layout: sizes,
 		judge:  oriolejudge.New(),
@@ -141,14 +144,14 @@
 			s.cleanups[i]()
 		}
 	}
-	if err := s.start(ctx); err != nil {
+	if err := s.start(); err != nil {
 		cleanup()
 		return nil, nil, err
 	}
 	return s, cleanup, nil
 }
 
-func (s *system) start(ctx context.Context) error {
+func (s *system) start() error {
 	s.platform = oriolestandin.NewPlatform(listLag)
 	addr, err := s.serve(s.platform)
 	if err != nil {
@@ -168,7 +171,7 @@
 	}
 	s.settings.Index()
 	for i := range s.layout.gateways {
-		if _, err := s.addGateway(ctx, zones[i%len(zones)]); err != nil {
+		if _, err := s.addGateway(zones[i%len(zones)]); err != nil {
 			return err
 		}
 	}
@@ -228,7 +231,7 @@
 }
 
 // addGateway starts one more gateway in the zone.
-func (s *system) addGateway(ctx context.Context, zone oriole.ZoneName) (*member, error) {
+func (s *system) addGateway(zone oriole.ZoneName) (*member, error) {
 	s.mu.Lock()
 	s.started++
 	number := s.started
@@ -253,7 +256,8 @@
 		return nil, err
 	}
 	m.gateway = gateway
-	ctx, m.stop = context.WithCancel(ctx)
+	ctx, stop := context.WithCancel(s.ctx)
+	m.stop = stop
 	go func() {
 		// The gateway ends with its context; why does not matter then.
 		_ = gateway.Serve(ctx)
--- a/internal/oriolegateway/oriolework/work.go
+++ b/internal/oriolegateway/oriolework/work.go
@@ -106,15 +106,17 @@
 	}
 }
 
-// Blame tells the queues of the service's other groups of a request that
-// crashed a server of the given group.
+// Blame tells the queues of all groups of a service of a request that crashed a
+// server of the given group. A group that this gateway does not keep learns of
+// it as well, since it may be handed over here. The queue that found it out
+// knows already.
 func (w *Work) Blame(at oriole.GroupID, blame oriolequeue.Blame) {
 	origin := w.groups[at]
 	if origin == nil {
 		return
 	}
-	for id, g := range w.groups {
-		if id != at && g.spec.Service == origin.spec.Service {
+	for _, g := range w.groups {
+		if g.spec.Service == origin.spec.Service && (g != origin || !w.Keeps(at)) {
 			g.in.Offer(arrival{blame: blame})
 		}
 	}
