Let control traffic grow slower than the fleet

Cause: at 940 nodes, heartbeats to every peer every 100 ms, an entry in the list of VMs every second, and a renewal to each server with every beat would exceed the bytes and the store calls that a node may spend. Change: the interval of heartbeats between all grows with the number of peers from 17 on, and a change of keeper itself takes idempotent requests back, so recovery does not wait for it; entries in the list every 15 s; renewals four times a span, at once when what a server holds changes.

--- a/internal/oriolegateway/gateway.go
+++ b/internal/oriolegateway/gateway.go
@@ -192,8 +192,10 @@
 		Silence:  time.Duration(g.settings.Load().Lease.Silence) + 2*time.Duration(g.settings.Load().Lease.Beat),
 		Metrics:  g.metrics,
 		Receiver: receiver{g},
-		Gate:     g.opts.gate,
-		Pass:     g.opts.pass,
+
+		SilencePerPeer: oriolecontrol.SilencePerPeer,
+		Gate:           g.opts.gate,
+		Pass:           g.opts.pass,
 	}, spec)
 }
 
--- a/internal/oriolegateway/oriolecontrol/control.go
+++ b/internal/oriolegateway/oriolecontrol/control.go
@@ -33,12 +33,22 @@
 const (
 	decideInterval = 10 * time.Millisecond
 	sightInterval  = 100 * time.Millisecond
+	// sightPerPeer lengthens the interval of sights with the number of peers,
+	// so that their bytes a second stay the same: 16 peers have the interval
+	// above.
+	sightPerPeer   = sightInterval / 16
 	pulseInterval  = 200 * time.Millisecond
 	memberInterval = time.Second
-	watchWait      = 2 * time.Second
-	callTimeout    = 150 * time.Millisecond
+	// announceInterval is the time between two entries in the list of VMs.
+	announceInterval = 15 * time.Second
+	watchWait        = 2 * time.Second
+	callTimeout      = 150 * time.Millisecond
 )
 
+// SilencePerPeer is the time that each peer adds to the silence after which a
+// link counts as broken.
+const SilencePerPeer = 3 * sightPerPeer
+
 // watchersPerZone is the number of gateways of an availability zone that watch
 // the store and pass on what they see.
 const watchersPerZone = 2
@@ -57,6 +67,9 @@
 	Send(to oriole.GatewayID, frame *oriolewire.Frame) bool
 	Broadcast(frame *oriolewire.Frame)
 	SetMembers(members []oriole.Member)
+	// GiveUp answers the idempotent requests of the group that wait for the
+	// peer.
+	GiveUp(peer oriole.GatewayID, group oriole.GroupID)
 }
 
 // Config describes the subtree.
--- a/internal/oriolegateway/oriolecontrol/decide.go
+++ b/internal/oriolegateway/oriolecontrol/decide.go
@@ -137,7 +137,7 @@
 		d.balance(now)
 		d.report()
 	}
-	if now.Sub(d.sight) >= sightInterval {
+	if now.Sub(d.sight) >= d.sightEvery() {
 		d.sight = now
 		d.sendSight(now)
 	}
@@ -183,8 +183,14 @@
 	return status
 }
 
+// silence is the time after which a gateway that is not heard counts as lost.
 func (d *decider) silence() time.Duration {
-	return 2 * time.Duration(d.control.cfg.Settings().Lease.Silence)
+	return max(2*time.Duration(d.control.cfg.Settings().Lease.Silence), 4*d.sightEvery())
+}
+
+// sightEvery returns the interval of sights.
+func (d *decider) sightEvery() time.Duration {
+	return max(sightInterval, sightPerPeer*time.Duration(len(d.members.known)))
 }
 
 func (d *decider) sendSight(now time.Time) {
@@ -435,6 +441,9 @@
 	if v.Term < old[v.Group].Term || v == old[v.Group] {
 		return
 	}
+	if before := old[v.Group].Keeper; before != "" && before != v.Keeper {
+		c.cfg.Network.GiveUp(before, v.Group)
+	}
 	next := maps.Clone(old)
 	next[v.Group] = v
 	c.views.Store(&next)
--- a/internal/oriolegateway/oriolecontrol/duties.go
+++ b/internal/oriolegateway/oriolecontrol/duties.go
@@ -233,7 +233,11 @@
 }
 
 // memberDuty reads the platform's list of VMs and keeps this one on it.
-type memberDuty struct{ control *Control }
+type memberDuty struct {
+	control   *Control
+	announced time.Time
+	leaving   bool
+}
 
 func (d *memberDuty) String() string { return "list of VMs" }
 
@@ -253,16 +257,31 @@
 	}
 }
 
+// announce keeps this gateway on the list, and reports whether it is there.
+func (d *memberDuty) announce(ctx context.Context, self oriole.Member) bool {
+	now := d.control.cfg.Timers.Now()
+	fresh := !d.announced.IsZero() && now.Sub(d.announced) < announceInterval
+	if fresh && self.Leaving == d.leaving {
+		return true
+	}
+	d.control.cfg.Metrics.Add("store_announces", 1)
+	if err := d.control.cfg.Store.Announce(ctx, self); err != nil {
+		return false
+	}
+	d.announced, d.leaving = now, self.Leaving
+	return true
+}
+
 func (d *memberDuty) refresh(ctx context.Context) {
 	c := d.control
 	ctx, cancel := context.WithTimeout(ctx, memberInterval)
 	defer cancel()
 	self := c.cfg.Self
 	self.Leaving = c.leaving.Load()
-	c.cfg.Metrics.Add("store_members", 2)
-	if err := c.cfg.Store.Announce(ctx, self); err != nil {
+	if !d.announce(ctx, self) {
 		return
 	}
+	c.cfg.Metrics.Add("store_members", 1)
 	members, err := c.cfg.Store.Members(ctx)
 	if err != nil {
 		return
--- a/internal/oriolegateway/oriolepeer/link.go
+++ b/internal/oriolegateway/oriolepeer/link.go
@@ -39,6 +39,7 @@
 // pendingAsk is a request that was forwarded and not answered yet.
 type pendingAsk struct {
 	id         string
+	group      oriole.GroupID
 	idempotent bool
 	written    bool
 	answer     chan oriole.Answer
@@ -138,7 +139,7 @@
 // ask forwards a request and waits for the answer.
 func (l *link) ask(ctx context.Context, r oriole.Request, now time.Time) oriole.Answer {
 	number := l.next.Add(1)
-	ask := &pendingAsk{id: r.ID, idempotent: r.Idempotent, answer: make(chan oriole.Answer, 1)}
+	ask := &pendingAsk{id: r.ID, group: r.Group, idempotent: r.Idempotent, answer: make(chan oriole.Answer, 1)}
 	l.mu.Lock()
 	if l.closed {
 		l.mu.Unlock()
@@ -215,14 +216,15 @@
 	clear(l.served)
 }
 
-// giveUp answers the idempotent requests that wait for a peer that is silent,
-// so that they can be sent elsewhere. The others wait on: the peer may be
-// paused, and its word is better than none.
-func (l *link) giveUp() {
+// giveUp answers the idempotent requests of a group, or of all if it is empty,
+// that wait for a peer which is silent or not the keeper any more, so that they
+// can be sent elsewhere. The others wait on: the peer may be paused, and its
+// word is better than none.
+func (l *link) giveUp(group oriole.GroupID) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for number, ask := range l.pending {
-		if ask.idempotent {
+		if ask.idempotent && (group == "" || ask.group == group) {
 			delete(l.pending, number)
 			ask.answer <- oriole.Lost(oriole.ReasonConnection)
 		}
--- a/internal/oriolegateway/oriolepeer/peers.go
+++ b/internal/oriolegateway/oriolepeer/peers.go
@@ -50,8 +50,10 @@
 	Gate     oriole.Gate
 	Timers   oriole.Timers
 	// Silence is the time without a frame after which a peer counts as
-	// unreachable.
-	Silence time.Duration
+	// unreachable, at the least; SilencePerPeer lengthens it with their number
+	// as the interval of heartbeats grows.
+	Silence        time.Duration
+	SilencePerPeer time.Duration
 	// Pass reports whether frames to and from a peer get through; tests and
 	// the demo use it to cut gateways off.
 	Pass func(peer oriole.GatewayID) bool
@@ -157,7 +159,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := p.links[to]
-	if l == nil || p.cfg.Timers.Now().Sub(p.heard[to]) > p.cfg.Silence {
+	if l == nil || p.cfg.Timers.Now().Sub(p.heard[to]) > p.silence() {
 		return nil
 	}
 	return l
@@ -174,7 +176,7 @@
 	var bestRank uint64
 	for id, l := range p.links {
 		rank := oriolehash.Rank(subject, string(id)) + p.tries
-		if id == to || now.Sub(p.heard[id]) > p.cfg.Silence {
+		if id == to || now.Sub(p.heard[id]) > p.silence() {
 			continue
 		}
 		if best == nil || rank < bestRank {
@@ -184,6 +186,12 @@
 	return best
 }
 
+// silence returns the time without a frame after which a peer counts as
+// unreachable. The caller holds the lock.
+func (p *Peers) silence() time.Duration {
+	return max(p.cfg.Silence, p.cfg.SilencePerPeer*time.Duration(len(p.links)))
+}
+
 // hear records that a peer is there.
 func (p *Peers) hear(id oriole.GatewayID) {
 	p.mu.Lock()
@@ -212,13 +220,21 @@
 	}
 }
 
+// GiveUp answers the idempotent requests of a group that wait for a peer which
+// is not its keeper any more.
+func (p *Peers) GiveUp(peer oriole.GatewayID, group oriole.GroupID) {
+	if l := p.link(peer); l != nil {
+		l.giveUp(group)
+	}
+}
+
 func (p *Peers) giveUpSilent() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.cfg.Timers.Now()
 	for id, l := range p.links {
-		if now.Sub(p.heard[id]) > p.cfg.Silence {
-			l.giveUp()
+		if now.Sub(p.heard[id]) > p.silence() {
+			l.giveUp("")
 		}
 	}
 }
--- a/internal/oriolestandin/platform.go
+++ b/internal/oriolestandin/platform.go
@@ -17,7 +17,7 @@
 const maxObject = 1 << 20
 
 // memberLife is how long the list shows a VM that was not heard of.
-const memberLife = 5 * time.Second
+const memberLife = 35 * time.Second
 
 // PlatformFaults switches the platform's faults.
 type PlatformFaults struct {
--- a/pkg/oriole/oriolegroup/lease.go
+++ b/pkg/oriole/oriolegroup/lease.go
@@ -60,6 +60,9 @@
 		if s.waiting && now.Sub(s.sentAt) < m.cfg.Timing.Silence {
 			continue
 		}
+		if m.cfg.Fenced && !m.renewalDue(now, i) {
+			continue
+		}
 		healthy := s.failingSince.IsZero()
 		if !m.cfg.Fenced && healthy && now.Sub(s.sentAt) < probeInterval {
 			continue
@@ -92,6 +95,21 @@
 	m.emit(SendGrant{Grant: grant})
 }
 
+// renewals is how many times within its span a lease is renewed, so that two
+// renewals in a row may be lost.
+const renewals = 4
+
+// renewalDue reports whether the server's lease is due for renewal, or does
+// not say what it should.
+func (m *Machine) renewalDue(now time.Time, server int) bool {
+	s := &m.keeper.servers[server]
+	urgent := !s.fenced || s.lost || !s.failingSince.IsZero() || !now.Before(s.heldUntil)
+	if urgent || now.Sub(s.sentAt) >= m.cfg.Timing.Lease/renewals {
+		return true
+	}
+	return !slices.Equal(s.owned, m.grantable(server))
+}
+
 // mayHold reports whether the server may get a lease. A server of a group in
 // doubt gets none before its slices are proven: the lease that it reports is
 // part of the proof.
