--- /dev/null
+++ b/internal/oriolecapacity/capacity_test.go
@@ -0,0 +1,37 @@
+package oriolecapacity
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestFit(t *testing.T) {
+	is := is.New(t)
+	s := measurement{sizes: []int{1, 2, 4, 8}, cost: func(n int) float64 { return 3 + 2*float64(n) }}.run()
+	is.Equal(s.Base, 3.0)
+	is.Equal(s.Each, 2.0)
+	is.Equal(s.Fit, 1.0)
+}
+
+// TestSizes checks that what must fit the store and the budget of frames does,
+// at the target's sizes.
+func TestSizes(t *testing.T) {
+	is := is.New(t)
+	const largestValue = 1 << 20
+	is.True(jsonBytes(record(4096)) < largestValue)
+	is.True(frameBytes(beatFrame(0)) < 200)
+	is.True(frameBytes(sightFrame(0)) < 100)
+	is.True(newKept(groupSlices).machine.Role() != 0)
+}
+
+func BenchmarkCapacity(b *testing.B) {
+	for _, m := range measurements() {
+		b.Run(m.name+" per "+m.per, func(b *testing.B) {
+			s := m.run()
+			b.ReportMetric(s.Each, m.unit+"/each")
+			b.ReportMetric(s.Base, m.unit+"/base")
+			b.ReportMetric(s.Fit, "fit")
+		})
+	}
+}
--- a/internal/oriolecli/demo.go
+++ b/internal/oriolecli/demo.go
@@ -14,6 +14,7 @@
 	Duration time.Duration `long:"duration" default:"10s" description:"time of the load"`
 	Seed     uint64        `long:"seed" default:"1" description:"seed of all chance"`
 	Rate     int           `long:"rate" default:"500" description:"requests a second"`
+	Gateways int           `long:"gateways" default:"8" description:"number of gateways"`
 	Faults   []string      `long:"fault" description:"fault to inject; may be repeated"`
 	Timeline bool          `long:"timeline" description:"print the events of all gateways at the end"`
 	JSON     bool          `long:"json" description:"print the summary as one JSON object on the last line"`
@@ -27,7 +28,7 @@
 	if err := orioledemo.CheckFaults(c.Faults); err != nil {
 		return usageError{err}
 	}
-	if c.Duration <= 0 || c.Rate <= 0 {
+	if c.Duration <= 0 || c.Rate <= 0 || c.Gateways <= 0 {
 		return usageError{errNotPositive}
 	}
 	var progress io.Writer
@@ -43,6 +44,7 @@
 		Seed:     c.Seed,
 		Faults:   c.Faults,
 		Rate:     c.Rate,
+		Gateways: c.Gateways,
 		Progress: progress,
 		Timeline: timeline,
 	})
--- a/internal/oriolecli/run.go
+++ b/internal/oriolecli/run.go
@@ -19,7 +19,7 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleconfig"
 )
 
-var errNotPositive = errors.New("duration and rate must be above 0")
+var errNotPositive = errors.New("--duration, --rate and --gateways must be above 0")
 
 // settingsFlags are the flags that name settings.
 type settingsFlags struct {
--- a/internal/orioledemo/demo.go
+++ b/internal/orioledemo/demo.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math"
+	"runtime"
 	"slices"
 	"strings"
 	"time"
@@ -28,6 +29,8 @@
 	Seed     uint64
 	Faults   []string
 	Rate     int
+	// Gateways is their number, 0 for the demo's own.
+	Gateways int
 	// Progress receives a line each second; nil for none.
 	Progress io.Writer
 	// Timeline receives the events of all gateways at the end; nil for none.
@@ -54,6 +57,10 @@
 	StoreReads          uint64  `json:"store_reads"`
 	StoreWrites         uint64  `json:"store_writes"`
 	Imbalance           float64 `json:"imbalance"`
+	// ControlBytes is what a gateway sends its peers in a second besides
+	// requests and answers; MemoryMB is that of the whole process.
+	ControlBytes float64 `json:"control_bytes_s"`
+	MemoryMB     float64 `json:"memory_mb"`
 }
 
 // Broken reports whether one of the promises was broken.
@@ -92,7 +99,11 @@
 		cfg.Rate = DefaultRate
 	}
 	logger := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
-	system, cleanup, err := newSystem(ctx, derwent, cfg.Seed, logger)
+	sizes := derwent
+	if cfg.Gateways > 0 {
+		sizes.gateways = cfg.Gateways
+	}
+	system, cleanup, err := newSystem(ctx, sizes, cfg.Seed, logger)
 	if err != nil {
 		return summary, err
 	}
@@ -112,6 +123,7 @@
 	loadCtx, cancel := context.WithTimeout(ctx, cfg.Duration)
 	defer cancel()
 	ended := make(chan struct{})
+	before := s.control()
 	for _, name := range cfg.Faults {
 		go faults[name].happen(loadCtx, s, l, cfg.Duration)
 	}
@@ -121,7 +133,27 @@
 	}()
 	s.progress(cfg.Progress, l, ended)
 	s.printTimeline(cfg.Timeline)
-	return s.summarize(l)
+	summary := s.summarize(l)
+	summary.ControlBytes = math.Round(float64(s.control()-before) / cfg.Duration.Seconds() / float64(len(s.live())))
+	return summary
+}
+
+// control returns the bytes of control traffic so far.
+func (s *system) control() int64 {
+	var sum int64
+	for _, m := range s.all() {
+		sum += m.gateway.Metrics().Value("control_bytes_out")
+	}
+	return sum
+}
+
+// memory returns the memory of the process in megabytes: heap and stacks.
+func memory() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	const megabyte = 1 << 20
+	return math.Round(float64(stats.HeapInuse+stats.StackInuse)/megabyte*10) / 10
 }
 
 // printTimeline prints the events of all gateways, causes before effects.
@@ -185,6 +217,7 @@
 		StoreReads:          reads,
 		StoreWrites:         writes,
 		Imbalance:           s.imbalance(),
+		MemoryMB:            memory(),
 	}
 }
 
--- a/internal/oriolegateway/gateway.go
+++ b/internal/oriolegateway/gateway.go
@@ -185,17 +185,17 @@
 }
 
 func (g *Gateway) buildPeers(timers *orioletimer.Service, spec suture.Spec) {
+	lease := g.settings.Load().Lease
+	silence := time.Duration(lease.Silence) + 2*time.Duration(lease.Beat)
 	g.peers = oriolepeer.New(oriolepeer.Config{
 		Self:     g.self,
 		Secret:   g.settings.Load().Secret,
 		Timers:   timers,
-		Silence:  time.Duration(g.settings.Load().Lease.Silence) + 2*time.Duration(g.settings.Load().Lease.Beat),
+		Silence:  func(n int) time.Duration { return oriolecontrol.LinkSilence(silence, n) },
 		Metrics:  g.metrics,
 		Receiver: receiver{g},
-
-		SilencePerPeer: oriolecontrol.SilencePerPeer,
-		Gate:           g.opts.gate,
-		Pass:           g.opts.pass,
+		Gate:     g.opts.gate,
+		Pass:     g.opts.pass,
 	}, spec)
 }
 
--- a/internal/oriolegateway/oriolecontrol/control.go
+++ b/internal/oriolegateway/oriolecontrol/control.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -31,23 +32,41 @@
 
 // Intervals of the duties.
 const (
-	decideInterval = 10 * time.Millisecond
-	sightInterval  = 100 * time.Millisecond
-	// sightPerPeer lengthens the interval of sights with the number of peers,
-	// so that their bytes a second stay the same: 16 peers have the interval
-	// above.
-	sightPerPeer   = sightInterval / 16
-	pulseInterval  = 200 * time.Millisecond
-	memberInterval = time.Second
+	decideInterval    = 10 * time.Millisecond
+	sightInterval     = 100 * time.Millisecond
+	candidateInterval = 50 * time.Millisecond
+	pulseInterval     = 200 * time.Millisecond
+	memberInterval    = time.Second
 	// announceInterval is the time between two entries in the list of VMs.
 	announceInterval = 15 * time.Second
 	watchWait        = 2 * time.Second
 	callTimeout      = 150 * time.Millisecond
 )
 
-// SilencePerPeer is the time that each peer adds to the silence after which a
-// link counts as broken.
-const SilencePerPeer = 3 * sightPerPeer
+// Sights are sent at sightInterval to as many as sightPeers; with more, the
+// interval grows with their number to the power of sightGrowth, so that a
+// gateway's sights cost fewer bytes a second the more gateways there are.
+const (
+	sightPeers  = 16
+	sightGrowth = 1.25
+)
+
+// SightEvery returns the interval of sights among n gateways.
+func SightEvery(n int) time.Duration {
+	if n <= sightPeers {
+		return sightInterval
+	}
+	return time.Duration(float64(sightInterval) * math.Pow(float64(n)/sightPeers, sightGrowth))
+}
+
+// silentSights is how many sights in a row may be missing.
+const silentSights = 4
+
+// LinkSilence returns the time without a frame after which a link among n
+// gateways counts as broken, if that is longer than the least.
+func LinkSilence(least time.Duration, n int) time.Duration {
+	return max(least, silentSights*SightEvery(n))
+}
 
 // watchersPerZone is the number of gateways of an availability zone that watch
 // the store and pass on what they see.
--- a/internal/oriolegateway/oriolecontrol/decide.go
+++ b/internal/oriolegateway/oriolecontrol/decide.go
@@ -28,7 +28,9 @@
 	// was sent a copy.
 	settings oriole.Object
 	resent   map[oriole.GatewayID]time.Time
-	// changed is when the members changed last.
+	// looked is when the members were last looked at, and changed when they
+	// changed.
+	looked  time.Time
 	changed time.Time
 }
 
@@ -120,10 +122,9 @@
 
 func (d *decider) tick() {
 	now := d.control.cfg.Timers.Now()
-	candidates, changed := d.members.candidates(now, d.silence())
-	if changed {
-		d.changed = now
-		d.stepAll(oriolegroup.MembersChanged{Members: candidates})
+	if now.Sub(d.looked) >= candidateInterval {
+		d.looked = now
+		d.lookAround(now)
 	}
 	free := true
 	for _, m := range d.order {
@@ -131,13 +132,12 @@
 		free = free && m.decide.Free()
 	}
 	d.control.free.Store(free)
-	d.control.watching.Store(d.members.watches(now, d.silence()))
 	if now.Sub(d.balanced) >= balanceInterval {
 		d.balanced = now
 		d.balance(now)
 		d.report()
 	}
-	if now.Sub(d.sight) >= d.sightEvery() {
+	if now.Sub(d.sight) >= SightEvery(len(d.members.known)) {
 		d.sight = now
 		d.sendSight(now)
 	}
@@ -183,14 +183,19 @@
 	return status
 }
 
-// silence is the time after which a gateway that is not heard counts as lost.
-func (d *decider) silence() time.Duration {
-	return max(2*time.Duration(d.control.cfg.Settings().Lease.Silence), 4*d.sightEvery())
+// lookAround tells the machines of changes among the gateways.
+func (d *decider) lookAround(now time.Time) {
+	candidates, changed := d.members.candidates(now, d.silence())
+	if changed {
+		d.changed = now
+		d.stepAll(oriolegroup.MembersChanged{Members: candidates})
+	}
+	d.control.watching.Store(d.members.watches(now, d.silence()))
 }
 
-// sightEvery returns the interval of sights.
-func (d *decider) sightEvery() time.Duration {
-	return max(sightInterval, sightPerPeer*time.Duration(len(d.members.known)))
+// silence is the time after which a gateway that is not heard counts as lost.
+func (d *decider) silence() time.Duration {
+	return LinkSilence(2*time.Duration(d.control.cfg.Settings().Lease.Silence), len(d.members.known))
 }
 
 func (d *decider) sendSight(now time.Time) {
--- a/internal/oriolegateway/oriolepeer/link.go
+++ b/internal/oriolegateway/oriolepeer/link.go
@@ -16,7 +16,7 @@
 )
 
 // linkRing is the number of frames that may wait for a link.
-const linkRing = 1024
+const linkRing = 256
 
 // writeTimeout bounds the time to hand one frame to the connection.
 const writeTimeout = time.Second
--- a/internal/oriolegateway/oriolepeer/peers.go
+++ b/internal/oriolegateway/oriolepeer/peers.go
@@ -49,11 +49,9 @@
 	Receiver Receiver
 	Gate     oriole.Gate
 	Timers   oriole.Timers
-	// Silence is the time without a frame after which a peer counts as
-	// unreachable, at the least; SilencePerPeer lengthens it with their number
-	// as the interval of heartbeats grows.
-	Silence        time.Duration
-	SilencePerPeer time.Duration
+	// Silence returns the time without a frame after which one of n peers
+	// counts as unreachable.
+	Silence func(n int) time.Duration
 	// Pass reports whether frames to and from a peer get through; tests and
 	// the demo use it to cut gateways off.
 	Pass func(peer oriole.GatewayID) bool
@@ -189,7 +187,7 @@
 // silence returns the time without a frame after which a peer counts as
 // unreachable. The caller holds the lock.
 func (p *Peers) silence() time.Duration {
-	return max(p.cfg.Silence, p.cfg.SilencePerPeer*time.Duration(len(p.links)))
+	return p.cfg.Silence(len(p.links))
 }
 
 // hear records that a peer is there.
@@ -207,7 +205,7 @@
 // Serve implements suture.Service.
 func (d *silenceDuty) Serve(ctx context.Context) error {
 	p := d.peers
-	ticks, stop := p.cfg.Timers.Subscribe(p.cfg.Silence / 4)
+	ticks, stop := p.cfg.Timers.Subscribe(p.cfg.Silence(0) / 4)
 	defer stop()
 	for {
 		select {
--- a/internal/oriolegateway/oriolework/group.go
+++ b/internal/oriolegateway/oriolework/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleconfig"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolepick"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolequeue"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolering"
 )
@@ -19,6 +21,10 @@
 	doneRing    = 1024
 )
 
+// pendingBlames bounds what a group remembers of crashing requests before its
+// duties start.
+const pendingBlames = 64
+
 // queueTick is the interval at which a queue looks for requests that are late.
 const queueTick = 5 * time.Millisecond
 
@@ -44,49 +50,67 @@
 	answer oriole.Answer
 }
 
-// group joins the duties of one group.
+// group is one group of servers. Its duties are made when this gateway is
+// first in charge of it: a gateway keeps few of all groups.
 type group struct {
-	cfg     Config
 	spec    orioleconfig.Group
+	seed    uint64
+	routing atomic.Pointer[oriole.Routing]
+	running atomic.Pointer[duties]
+	blames  []oriolequeue.Blame
+}
+
+func newGroup(spec orioleconfig.Group, seed uint64) *group {
+	g := &group{spec: spec, seed: seed}
+	g.routing.Store(&oriole.Routing{})
+	return g
+}
+
+// duties joins the duties of one group.
+type duties struct {
+	*group
+	cfg     Config
 	slots   int
 	queue   *oriolequeue.Queue
-	routing atomic.Pointer[oriole.Routing]
 	status  atomic.Pointer[[]Status]
 	busy    []atomic.Int32
 	in      *oriolering.Ring[arrival]
 	done    *oriolering.Ring[finished]
 	senders []*oriolering.Ring[started]
 	kick    chan struct{}
-	started bool
 }
 
-func newGroup(cfg Config, spec orioleconfig.Group, picker oriole.Picker) *group {
-	g := &group{
+func newDuties(cfg Config, g *group) (d *duties, err error) {
+	service := cfg.Settings.Services[g.spec.Service]
+	picker, err := oriolepick.New(service.Pick, rand.New(rand.NewPCG(cfg.Seed, g.seed)))
+	if err != nil {
+		return nil, err
+	}
+	d = &duties{
+		group: g,
 		cfg:   cfg,
-		spec:  spec,
-		slots: cfg.Settings.Services[spec.Service].Slots,
-		busy:  make([]atomic.Int32, max(spec.Slices, 1)),
+		slots: service.Slots,
+		busy:  make([]atomic.Int32, max(g.spec.Slices, 1)),
 		in:    oriolering.New[arrival](arrivalRing),
 		done:  oriolering.New[finished](doneRing),
 		kick:  make(chan struct{}, 1),
 	}
-	g.routing.Store(&oriole.Routing{})
-	status := make([]Status, len(spec.Servers))
-	g.status.Store(&status)
-	for range spec.Servers {
-		g.senders = append(g.senders, oriolering.New[started](g.slots))
+	status := make([]Status, len(g.spec.Servers))
+	d.status.Store(&status)
+	for range g.spec.Servers {
+		d.senders = append(d.senders, oriolering.New[started](d.slots))
 	}
-	g.queue = oriolequeue.New(oriolequeue.Config{
-		Servers: len(spec.Servers),
-		Divided: spec.Slices > 0,
-		Limits:  cfg.Settings.QueueLimits(spec.Service),
+	d.queue = oriolequeue.New(oriolequeue.Config{
+		Servers: len(g.spec.Servers),
+		Divided: g.spec.Slices > 0,
+		Limits:  cfg.Settings.QueueLimits(g.spec.Service),
 		Picker:  picker,
-	}, func(slice, delta int) { g.busy[slice].Add(int32(delta)) })
-	return g
+	}, func(slice, delta int) { d.busy[slice].Add(int32(delta)) })
+	return d, nil
 }
 
 // tree returns the supervisor of the group's duties.
-func (g *group) tree(spec suture.Spec) *suture.Supervisor {
+func (g *duties) tree(spec suture.Spec) *suture.Supervisor {
 	tree := suture.New("group "+string(g.spec.ID), spec)
 	tree.Add(&queueDuty{
 		group:    g,
@@ -102,7 +126,7 @@
 	return tree
 }
 
-func (g *group) wake() {
+func (g *duties) wake() {
 	select {
 	case g.kick <- struct{}{}:
 	default:
@@ -111,7 +135,7 @@
 
 // mayStart reports whether the routing in force still lets the request run on
 // the server.
-func (g *group) mayStart(server int, term oriole.Term, job *oriolequeue.Job) bool {
+func (g *duties) mayStart(server int, term oriole.Term, job *oriolequeue.Job) bool {
 	routing := g.routing.Load()
 	if routing.Term != term || !routing.Serves(server, g.cfg.Timers.Now()) {
 		return false
@@ -121,7 +145,7 @@
 
 // queueDuty owns the group's queue.
 type queueDuty struct {
-	group    *group
+	group    *duties
 	contexts map[*oriolequeue.Job]context.Context
 	// cuts ends the runs in progress early.
 	cuts    map[*oriolequeue.Job]context.CancelFunc
@@ -245,7 +269,7 @@
 
 // senderDuty is one slot of one server.
 type senderDuty struct {
-	group  *group
+	group  *duties
 	server int
 	runner oriole.Runner
 }
--- a/internal/oriolegateway/oriolework/work.go
+++ b/internal/oriolegateway/oriolework/work.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -52,12 +51,10 @@
 		groups:     make(map[oriole.GroupID]*group),
 	}
 	for i, g := range cfg.Settings.Groups() {
-		service := cfg.Settings.Services[g.Service]
-		picker, err := oriolepick.New(service.Pick, rand.New(rand.NewPCG(cfg.Seed, uint64(i))))
-		if err != nil {
+		if _, err := oriolepick.New(cfg.Settings.Services[g.Service].Pick, nil); err != nil {
 			return nil, err
 		}
-		w.groups[g.ID] = newGroup(cfg, g, picker)
+		w.groups[g.ID] = newGroup(g, uint64(i))
 	}
 	return w, nil
 }
@@ -68,29 +65,40 @@
 	if g == nil {
 		return
 	}
+	d := g.running.Load()
+	if routing.Keeper && d == nil {
+		d = w.start(g)
+	}
 	g.routing.Store(routing)
-	if routing.Keeper {
-		w.start(g)
+	if d != nil {
+		d.wake()
 	}
-	g.wake()
 }
 
-// start adds the duties of a group to the tree, once.
-func (w *Work) start(g *group) {
+// start adds the duties of a group to the tree. Only the duty that decides on
+// ownership calls it, through Route.
+func (w *Work) start(g *group) *duties {
+	d, err := newDuties(w.cfg, g)
+	if err != nil {
+		// New has checked the only setting that can be wrong.
+		panic(err)
+	}
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	if g.started {
-		return
+	g.running.Store(d)
+	for _, blame := range g.blames {
+		d.in.Offer(arrival{blame: blame})
 	}
-	g.started = true
-	w.Add(g.tree(w.spec))
+	g.blames = nil
+	w.mu.Unlock()
+	w.Add(d.tree(w.spec))
+	return d
 }
 
 // Submit gives a request to the queue of its group. The reply function is
 // called once, and must not block.
 func (w *Work) Submit(ctx context.Context, r oriole.Request, reply func(oriole.Answer)) {
-	g := w.groups[r.Group]
-	if g == nil || !g.routing.Load().Keeper {
+	d := w.duties(r.Group)
+	if d == nil || !d.routing.Load().Keeper {
 		reply(oriole.Refuse(oriole.ReasonNotKeeper))
 		return
 	}
@@ -100,12 +108,20 @@
 		Reply:   reply,
 		Gone:    func() bool { return ctx.Err() != nil },
 	}
-	if !g.in.Offer(arrival{ctx: ctx, job: job}) {
+	if !d.in.Offer(arrival{ctx: ctx, job: job}) {
 		w.cfg.Metrics.Add("queue_ring_full", 1)
 		reply(oriole.Refuse(oriole.ReasonQueueFull))
 	}
 }
 
+// duties returns the duties of the group, or nil if they have not started.
+func (w *Work) duties(id oriole.GroupID) *duties {
+	if g := w.groups[id]; g != nil {
+		return g.running.Load()
+	}
+	return nil
+}
+
 // Blame tells the queues of all groups of a service of a request that crashed a
 // server of the given group. A group that this gateway does not keep learns of
 // it as well, since it may be handed over here. The queue that found it out
@@ -117,11 +133,25 @@
 	}
 	for _, g := range w.groups {
 		if g.spec.Service == origin.spec.Service && (g != origin || !w.Keeps(at)) {
-			g.in.Offer(arrival{blame: blame})
+			w.tell(g, blame)
 		}
 	}
 }
 
+// tell gives a blame to the group's queue, or keeps it until there is one.
+func (w *Work) tell(g *group, blame oriolequeue.Blame) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if d := g.running.Load(); d != nil {
+		d.in.Offer(arrival{blame: blame})
+		return
+	}
+	if len(g.blames) == pendingBlames {
+		g.blames = g.blames[1:]
+	}
+	g.blames = append(g.blames, blame)
+}
+
 // Keeps reports whether this gateway is in charge of the group.
 func (w *Work) Keeps(id oriole.GroupID) bool {
 	g := w.groups[id]
@@ -130,8 +160,8 @@
 
 // Busy reports whether a request runs on the slice of the group.
 func (w *Work) Busy(id oriole.GroupID, slice int) bool {
-	g := w.groups[id]
-	return g != nil && slice < len(g.busy) && g.busy[slice].Load() > 0
+	d := w.duties(id)
+	return d != nil && slice < len(d.busy) && d.busy[slice].Load() > 0
 }
 
 // Status is the state of one server's queue.
@@ -143,9 +173,9 @@
 
 // Status returns the state of the group's servers, as of the last tick.
 func (w *Work) Status(id oriole.GroupID) []Status {
-	g := w.groups[id]
-	if g == nil {
+	d := w.duties(id)
+	if d == nil {
 		return nil
 	}
-	return *g.status.Load()
+	return *d.status.Load()
 }
--- a/pkg/oriole/orioleconfig/settings.go
+++ b/pkg/oriole/orioleconfig/settings.go
@@ -100,7 +100,7 @@
 	return Settings{
 		Lease: Lease{
 			Span:    Span(500 * time.Millisecond),
-			Beat:    Span(60 * time.Millisecond),
+			Beat:    Span(80 * time.Millisecond),
 			Silence: Span(250 * time.Millisecond),
 			Alone:   Span(6 * time.Hour),
 			Drift:   0.01,
