--- a/internal/oriolegateway/oriolefront/http.go
+++ b/internal/oriolegateway/oriolefront/http.go
@@ -20,6 +20,9 @@
 	HeaderToken    = "Idempotency-Key"
 )
 
+// maxToken bounds an idempotency key, in bytes.
+const maxToken = 256
+
 // hopHeaders are the fields that concern one connection only.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
@@ -89,6 +92,10 @@
 	if key == "" {
 		return request, http.StatusBadRequest, "path: the part after the service must be a key"
 	}
+	token := r.Header.Get(HeaderToken)
+	if len(token) > maxToken {
+		return request, http.StatusBadRequest, HeaderToken + ": more than " + strconv.Itoa(maxToken) + " characters"
+	}
 	span, err := deadlineOf(r, time.Duration(service.Deadline))
 	if err != nil {
 		return request, http.StatusBadRequest, HeaderDeadline + ": " + err.Error()
@@ -106,7 +113,7 @@
 		Header:     forwardHeader(r),
 		Body:       body,
 		Idempotent: slices.Contains(service.Idempotent, r.Method),
-		Token:      r.Header.Get(HeaderToken),
+		Token:      token,
 		Deadline:   now.Add(span),
 	}
 	h.entry.Route(&request)
--- a/pkg/oriole/oriolequeue/queue.go
+++ b/pkg/oriole/oriolequeue/queue.go
@@ -259,7 +259,7 @@
 			Usable:      q.routing.Serves(i, now) && !q.routing.Out[i] && !now.Before(s.pauseUntil),
 			Outstanding: s.running + s.line.len(),
 			Limit:       s.limit.now(),
-			Latency:     s.latency,
+			Latency:     s.expected(now, q.usual),
 		}
 	}
 	return q.cfg.Picker.Pick(q.loads)
@@ -297,7 +297,7 @@
 	s := q.servers[server]
 	switch {
 	case answer.Outcome == oriole.OutcomeAnswered:
-		s.completed(now.Sub(job.started), q.usual)
+		s.completed(now, now.Sub(job.started), q.usual)
 		q.learnUsual(s)
 		q.blame.cleared(job.print)
 	case answer.Reason == oriole.ReasonDrain:
--- a/pkg/oriole/oriolequeue/queue_test.go
+++ b/pkg/oriole/oriolequeue/queue_test.go
@@ -353,3 +353,13 @@
 		job.attempts = 0
 	}
 }
+
+func TestSlowServerIsTriedAgain(t *testing.T) {
+	is := is.New(t)
+	s := newServer(DefaultLimits())
+	const usual = 2 * time.Millisecond
+	s.completed(start, 20*time.Millisecond, usual)
+	is.Equal(s.expected(start, usual), 20*time.Millisecond)
+	is.Equal(s.expected(start.Add(latencyHalfLife), usual), 11*time.Millisecond)
+	is.True(s.expected(start.Add(20*latencyHalfLife), usual) < 3*time.Millisecond)
+}
--- a/pkg/oriole/oriolequeue/server.go
+++ b/pkg/oriole/oriolequeue/server.go
@@ -1,6 +1,9 @@
 package oriolequeue
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // shedPause is how long a server that shed a request is left alone.
 const shedPause = 10 * time.Millisecond
@@ -19,6 +22,7 @@
 	solo       bool
 	limit      limit
 	latency    time.Duration
+	lastRun    time.Time
 	pauseUntil time.Time
 }
 
@@ -36,8 +40,22 @@
 	return s.latency * time.Duration(ahead/max(s.limit.now(), 1)+1)
 }
 
-// completed takes in the run time of an answered request.
-func (s *server) completed(took, normal time.Duration) {
+// latencyHalfLife is the time without a run in which a server's mean comes half
+// the way back to the usual one, so that a server that was slow is tried again.
+const latencyHalfLife = time.Second
+
+// expected returns the run time to expect of the server.
+func (s *server) expected(now time.Time, usual time.Duration) time.Duration {
+	if s.latency <= usual || s.running > 0 {
+		return s.latency
+	}
+	age := now.Sub(s.lastRun).Seconds() / latencyHalfLife.Seconds()
+	return usual + time.Duration(float64(s.latency-usual)*math.Exp2(-age))
+}
+
+// completed takes in the run time of an answered request that ended at now.
+func (s *server) completed(now time.Time, took, normal time.Duration) {
+	s.lastRun = now
 	s.limit.completed(took, s.latency, normal)
 	if s.latency == 0 {
 		s.latency = took
