--- a/internal/oriolegateway/oriolecontrol/decide.go
+++ b/internal/oriolegateway/oriolecontrol/decide.go
@@ -131,7 +131,8 @@
 		d.step(m, oriolegroup.Tick{Busy: m.busy})
 		free = free && m.decide.Free()
 	}
-	d.control.free.Store(free)
+	// The last gateway has no one to hand over to.
+	d.control.free.Store(free || !d.members.othersFit())
 	if now.Sub(d.balanced) >= balanceInterval {
 		d.balanced = now
 		d.balance(now)
--- a/internal/oriolegateway/oriolecontrol/membership.go
+++ b/internal/oriolegateway/oriolecontrol/membership.go
@@ -116,6 +116,13 @@
 	return all, changed
 }
 
+// othersFit reports whether another gateway could take a duty.
+func (m *membership) othersFit() bool {
+	return slices.ContainsFunc(m.last, func(c oriolegroup.Candidate) bool {
+		return c.Fit && c.ID != m.self.ID
+	})
+}
+
 // alive reports whether this gateway hears the other, or a peer does: a single
 // broken link must not make two gateways take each other's duties.
 func (m *membership) alive(id oriole.GatewayID, k *knownGateway, now time.Time, silence time.Duration) bool {
