Refuse settings that can't come into force, and describe operating

Cause: a change of slots or queue bounds was accepted and stayed without effect. Change: apply and gateways refuse what can't change while the system runs and name the field; the operators' page, whose settings a test checks against the schema. Conclusion: what is in force is what was applied.

--- a/pkg/oriole/orioleconfig/config_test.go
+++ b/pkg/oriole/orioleconfig/config_test.go
@@ -1,6 +1,8 @@
 package orioleconfig_test
 
 import (
+	"encoding/json"
+	"os"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -109,3 +111,86 @@
 		_, _ = orioleconfig.Parse("base.json", base, "overlay.json", overlay)
 	})
 }
+
+// TestOperatorsPageHasEverySetting checks the page against the schema.
+func TestOperatorsPageHasEverySetting(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile(filepath.Join("..", "..", "..", "docs", "OPERATE.md"))
+	is.NoErr(err)
+	var schema struct {
+		Properties map[string]described `json:"properties"`
+		Defs       map[string]struct {
+			Properties map[string]described `json:"properties"`
+		} `json:"$defs"`
+	}
+	is.NoErr(json.Unmarshal(orioleconfig.Schema, &schema))
+	all := []map[string]described{schema.Properties}
+	for _, def := range schema.Defs {
+		all = append(all, def.Properties)
+	}
+	for _, properties := range all {
+		for name, property := range properties {
+			if property.Description != "" && !strings.Contains(string(page), property.Description) {
+				t.Errorf("docs/OPERATE.md does not describe %s: %s", name, property.Description)
+			}
+		}
+	}
+}
+
+type described struct {
+	Description string `json:"description"`
+}
+
+func TestChangesWhileTheSystemRuns(t *testing.T) {
+	tests := []struct {
+		name    string
+		replace []string
+		// want is a part of the error, or empty if the change is allowed.
+		want string
+	}{
+		{"nothing", nil, ""},
+		{"drain", []string{`"name": "u1"`, `"drain": true, "name": "u1"`}, ""},
+		{"deadline", []string{`"slices": 4`, `"slices": 4, "deadline": "1s"`}, ""},
+		{"zone out", []string{`"allow"`, `"out": ["a"], "allow"`}, ""},
+		{"zones", []string{`["a", "b"]`, `["a", "b", "c"]`}, "/zones"},
+		{"slices", []string{`"slices": 4`, `"slices": 8`}, "/services/s"},
+		{"slots", []string{`"slices": 4`, `"slices": 4, "slots": 4`}, "slots"},
+		{"address", []string{"127.0.0.1:2", "127.0.0.1:9"}, "/services/s/upstreams"},
+		{"lease", []string{`"allow"`, `"lease": {"span": "1s"}, "allow"`}, "/lease"},
+		{"queue", []string{`"allow"`, `"limits": {"queued": 9}, "allow"`}, "/limits"},
+		{"platform", []string{"127.0.0.1:1", "127.0.0.1:99"}, "/platform"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			old, err := orioleconfig.Parse("base", []byte(base), "", nil)
+			is.NoErr(err)
+			next, err := orioleconfig.Parse("base", []byte(strings.NewReplacer(test.replace...).Replace(base)), "", nil)
+			is.NoErr(err)
+			err = orioleconfig.CheckChange(&old, &next)
+			is.Equal(err == nil, test.want == "")
+			if err != nil {
+				is.True(strings.Contains(err.Error(), test.want))
+			}
+		})
+	}
+}
+
+func TestSetZone(t *testing.T) {
+	is := is.New(t)
+	out, err := orioleconfig.SetZone([]byte(base), "a", true)
+	is.NoErr(err)
+	settings, err := orioleconfig.Parse("base", out, "", nil)
+	is.NoErr(err)
+	is.Equal(settings.Out, []oriole.ZoneName{"a"})
+	is.Equal(settings.OutServers(settings.Groups()[1]), []bool{true, false})
+	_, err = orioleconfig.SetZone(out, "b", true)
+	is.True(err != nil) // one zone must stay
+	_, err = orioleconfig.SetZone(out, "a", true)
+	is.True(err != nil) // it is out already
+	back, err := orioleconfig.SetZone(out, "a", false)
+	is.NoErr(err)
+	settings, err = orioleconfig.Parse("base", back, "", nil)
+	is.NoErr(err)
+	is.Equal(len(settings.Out), 0)
+}
--- a/pkg/oriole/orioleconfig/stored.go
+++ b/pkg/oriole/orioleconfig/stored.go
@@ -28,6 +28,14 @@
 	if old.Lease != next.Lease {
 		c.add("/lease", "can't change while the system runs")
 	}
+	if old.Platform != next.Platform || old.Secret != next.Secret {
+		c.add("/platform, /secret", "can't change while the system runs")
+	}
+	live := next.Limits
+	live.Body, live.Open = old.Limits.Body, old.Limits.Open
+	if live != old.Limits {
+		c.add("/limits", "only body and open can change while the system runs")
+	}
 	for _, name := range sortedServices(next) {
 		if _, found := old.Services[name]; !found {
 			c.add("/services/"+string(name), "can't be added while the system runs")
@@ -52,6 +60,9 @@
 	if old.Divided != next.Divided || old.Slices != next.Slices || old.Groups != next.Groups || old.Fenced != next.Fenced {
 		c.add(path, "divided, slices, groups and fenced can't change while the system runs")
 	}
+	if old.Slots != next.Slots || old.Cold != next.Cold || old.Conns != next.Conns || old.Pick != next.Pick {
+		c.add(path, "slots, cold, conns and pick can't change while the system runs")
+	}
 	same := func(a, b Upstream) bool { return a.Name == b.Name && a.Zone == b.Zone && a.Addr == b.Addr }
 	if !slices.EqualFunc(old.Upstreams, next.Upstreams, same) {
 		c.add(path+"/upstreams", "only drain can change while the system runs")
--- a/pkg/oriole/oriolequeue/bench_test.go
+++ b/pkg/oriole/oriolequeue/bench_test.go
@@ -99,7 +99,9 @@
 	}{
 		{"none slow", func(int, time.Duration) bool { return false }},
 		{"one slow", func(server int, _ time.Duration) bool { return server == 0 }},
-		{"moments", func(server int, since time.Duration) bool { return server == 0 && since%time.Second < 200*time.Millisecond }},
+		{"moments", func(server int, since time.Duration) bool {
+			return server == 0 && since%time.Second < 200*time.Millisecond
+		}},
 	}
 	for _, scene := range scenes {
 		for _, picker := range []string{"random", "round-robin", "least", "power-of-two", "expected"} {
