Never call a request not run of which an earlier try may have run

Change: queue and entry keep that a try was unknown, and say so. Conclusion: an outcome belongs to the request and not to its last try.

--- a/internal/oriolegateway/oriolefront/entry.go
+++ b/internal/oriolegateway/oriolefront/entry.go
@@ -126,22 +126,31 @@
 			unknown++
 		}
 		if !e.again(r, answer, unknown) {
-			return answer
+			return overall(answer, unknown)
 		}
 		e.cfg.Metrics.Add("entry_retries", 1)
 		if !e.pause(ctx, changed) {
-			return lastWord(answer, unknown)
+			return overall(late(answer), unknown)
 		}
 	}
 }
 
-// lastWord returns the answer when the time is over. If any try may have run,
-// the request must not be called "not run" because the last one has not.
-func lastWord(answer oriole.Answer, unknown int) oriole.Answer {
-	if unknown > 0 {
-		return oriole.Lost(answer.Reason)
+// overall returns the answer to a request of which some tries had an unknown
+// outcome: if any may have run, the request must not be called "not run"
+// because the last one has not.
+func overall(answer oriole.Answer, unknown int) oriole.Answer {
+	if unknown > 0 && answer.Outcome == oriole.OutcomeNotRun {
+		answer.Outcome = oriole.OutcomeUnknown
 	}
-	return oriole.Refuse(oriole.ReasonDeadline)
+	return answer
+}
+
+// late returns the answer to a request whose time ran out between two tries.
+func late(answer oriole.Answer) oriole.Answer {
+	if answer.Outcome == oriole.OutcomeNotRun {
+		return oriole.Refuse(oriole.ReasonDeadline)
+	}
+	return answer
 }
 
 func (e *Entry) count(group oriole.GroupID, delta int) {
--- a/internal/oriolegateway/oriolefront/entry_test.go
+++ b/internal/oriolegateway/oriolefront/entry_test.go
@@ -88,6 +88,7 @@
 		{"link lost, idempotent", true, []oriole.Answer{linkLost, answered}, answered, 2},
 		{"link lost, not idempotent", false, []oriole.Answer{linkLost, answered}, linkLost, 1},
 		{"server lost, idempotent", true, []oriole.Answer{serverLost, answered}, serverLost, 1},
+		{"link lost, then queue full", true, []oriole.Answer{linkLost, oriole.Refuse(oriole.ReasonQueueFull)}, oriole.Lost(oriole.ReasonQueueFull), 2},
 		{"queue full", true, []oriole.Answer{oriole.Refuse(oriole.ReasonQueueFull)}, oriole.Refuse(oriole.ReasonQueueFull), 1},
 	}
 	for _, test := range tests {
--- a/pkg/oriole/oriolequeue/queue.go
+++ b/pkg/oriole/oriolequeue/queue.go
@@ -57,6 +57,8 @@
 	attempts int
 	started  time.Time
 	solo     bool
+	// mayHaveRun says that an earlier attempt ended with an unknown outcome.
+	mayHaveRun bool
 	// abandoned says that the run was cut short by the queue itself.
 	abandoned bool
 }
@@ -279,6 +281,7 @@
 	} else {
 		q.learn(now, server, job, answer)
 	}
+	job.mayHaveRun = job.mayHaveRun || answer.Outcome == oriole.OutcomeUnknown
 	switch {
 	case answer.Outcome == oriole.OutcomeAnswered:
 		q.reply(now, job, answer)
@@ -490,6 +493,10 @@
 
 // reply gives the job its answer and remembers it for repeats.
 func (q *Queue) reply(now time.Time, job *Job, answer oriole.Answer) {
+	if job.mayHaveRun && answer.Outcome == oriole.OutcomeNotRun {
+		// The last attempt has not run, but an earlier one may have.
+		answer.Outcome = oriole.OutcomeUnknown
+	}
 	switch answer.Outcome {
 	case oriole.OutcomeAnswered:
 		q.counts.Answered++
--- a/pkg/oriole/oriolequeue/queue_test.go
+++ b/pkg/oriole/oriolequeue/queue_test.go
@@ -363,3 +363,21 @@
 	is.Equal(s.expected(start.Add(latencyHalfLife), usual), 11*time.Millisecond)
 	is.True(s.expected(start.Add(20*latencyHalfLife), usual) < 3*time.Millisecond)
 }
+
+// TestLostOnceIsNeverNotRun: an idempotent request that was lost, and waits in
+// vain for its next attempt, may have run.
+func TestLostOnceIsNeverNotRun(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(1, true)
+	r := f.request("r", 0)
+	r.Idempotent = true
+	f.arrive(r)
+	held := *f.routing
+	held.Owner = []int{oriole.NoServer}
+	f.take(f.q.Route(f.now, &held))
+	f.finish("r", time.Millisecond, oriole.Lost(oriole.ReasonConnection))
+	is.Equal(f.q.Len(), 1) // it waits for an owner
+	f.now = f.now.Add(2 * time.Second)
+	f.take(f.q.Tick(f.now))
+	is.Equal(f.answers["r"], oriole.Lost(oriole.ReasonDeadline))
+}
--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -7,6 +7,9 @@
  * frozen or dead, so pauses need no steps of their own. Each message has one
  * place; it may be lost, or arrive at any later time.
  *
+ * -DFOCUS leaves out releases, lost answers of the store and new deputies, for
+ * searches that are to find a fault elsewhere.
+ *
  * Each guard of the protocol can be left out with -DNO_<GUARD>; the model must
  * then fail. README.md lists the guards and the bounds.
  */
@@ -287,8 +290,10 @@
 		if :: G(i).seq > sseq -> sseq = G(i).seq; sowner = G(i).owner; sver++; G(i).ver = sver :: else fi;
 		G(i).conf = clk; G(i).alone = ENDING
 	/* ---- the deputy is silent ---- */
+#ifndef FOCUS
 	:: KEEPER(i) && sup && G(i).alone == OFF && G(i).op == OP_NONE && STORED(G(i).term) && sver == G(i).ver && sver < V_MAX ->
 		replace_deputy(i)
+#endif
 	:: KEEPER(i) && sup && G(i).alone != OFF && G(i).op == OP_NONE && sver == G(i).ver && sver < V_MAX ->
 		/* A new term ends every right under the old one. */
 		printf("%d: keeper %d takes a new term\n", clk, i);
@@ -303,8 +308,10 @@
 		fi;
 		if
 		:: land(i); taken(i)
+#ifndef FOCUS
 		:: land(i)
 		:: true
+#endif
 		fi
 	:: G(i).op != OP_NONE && sver == G(i).opver -> land(i)
 	:: G(i).op == OP_ORPHAN -> clear_op(i)
@@ -351,7 +358,9 @@
 	GS(i, s).muntil = (clk < f && GS(i, s).fenced && G(i).safe -> LOW(clk + 1, f) : 0);
 #endif
 	/* A release is asked for at any time. */
+#ifndef FOCUS
 	if :: GS(i, s).mown && G(i).seq < 3 -> GS(i, s).mown = 0 :: true fi;
+#endif
 	if :: GS(i, s).muntil > GS(i, s).end -> GS(i, s).end = GS(i, s).muntil :: else fi;
 	GS(i, s).acked = 2;
 	f = 0
