--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -139,7 +139,11 @@
 
 byte clk = 0;
 
+#ifdef NO_FENCE
+#define HOLDS(s) (srv[s].own && clk < srv[s].until)
+#else
 #define HOLDS(s) (srv[s].own && clk < srv[s].until && srv[s].term == srv[s].lterm)
+#endif
 
 /* One owner at most. */
 #define DOUBLE (HOLDS(0) && HOLDS(1))
@@ -154,6 +158,13 @@
 
 #define LOW(a, b) ((a) < (b) -> (a) : (b))
 
+/* A grant that changes nothing is not sent. */
+#ifdef NO_AUTHORITY
+#define USEFUL(i, s) (!GS(i, s).fenced || AUTH(i) > clk || G(i).owner == s)
+#else
+#define USEFUL(i, s) (!GS(i, s).fenced || AUTH(i) > clk)
+#endif
+
 /* Until when a keeper may renew leases. */
 #define AUTH(i) ((G(i).deputy == NONE || G(i).alone == ON) -> LIMIT(i) : LOW(G(i).auth, LIMIT(i)))
 
@@ -274,8 +285,8 @@
 		beat[i].seq = (G(i).prop != NONE && G(i).alone == ON -> G(i).seq + 1 : G(i).seq);
 		beat[i].owner = (G(i).prop != NONE && G(i).alone == ON -> G(i).prop : G(i).owner)
 	/* ---- leases ---- */
-	:: KEEPER(i) && !GS(i, 0).m && !GS(i, 1).m && !(GS(i, 0).fenced && AUTH(i) <= clk) -> send_grant(i, 0)
-	:: KEEPER(i) && !GS(i, 0).m && !GS(i, 1).m && !(GS(i, 1).fenced && AUTH(i) <= clk) -> send_grant(i, 1)
+	:: KEEPER(i) && !GS(i, 0).m && !GS(i, 1).m && USEFUL(i, 0) -> send_grant(i, 0)
+	:: KEEPER(i) && !GS(i, 0).m && !GS(i, 1).m && USEFUL(i, 1) -> send_grant(i, 1)
 	/* ---- moves: the owner's lease has lapsed, or it has released ---- */
 	:: KEEPER(i) && G(i).safe && G(i).prop == NONE && G(i).op == OP_NONE && G(i).seq < 3 &&
 	   (LAPSED(i, G(i).owner) || GS(i, G(i).owner).acked == 0) ->
