--- a/internal/orioledemo/faults.go
+++ b/internal/orioledemo/faults.go
@@ -85,6 +85,7 @@
 	"cold-start":               lasting(coldServers, nil),
 	"slow-upstreams":           lasting(slowServers, normalServers),
 	"crash-request":            lasting(sendCrash, nil),
+	"late-answers":             lasting(func(f *faultRun) { f.setCrossing(true) }, func(f *faultRun) { f.setCrossing(false) }),
 	"upstream-drain":           lasting(drainServers, undrainServers),
 	"overload":                 lasting(overload, normalLoad),
 	"hot-keys":                 lasting(func(f *faultRun) { f.load.shiftKeys() }, func(f *faultRun) { f.load.shiftKeys() }),
@@ -292,6 +293,16 @@
 	}
 }
 
+// setCrossing makes a quarter of the upstreams answer the wrong request, late,
+// or in part.
+func (f *faultRun) setCrossing(crossing bool) {
+	for i, u := range f.system.upstreams {
+		if i%4 == 0 {
+			u.SetCrossing(crossing)
+		}
+	}
+}
+
 func drainServers(f *faultRun) { f.setDraining(true) }
 
 func undrainServers(f *faultRun) { f.setDraining(false) }
--- a/internal/orioleserver/client.go
+++ b/internal/orioleserver/client.go
@@ -53,10 +53,9 @@
 
 // Client implements oriole.Granter and oriole.Runner.
 type Client struct {
-	fenced    bool
-	run       *http.Client
-	grant     *http.Client
-	transport *http.Transport
+	fenced bool
+	run    *http.Client
+	grant  *http.Client
 }
 
 var (
@@ -73,10 +72,9 @@
 	grant := &http.Transport{DialContext: dial, MaxConnsPerHost: 1, MaxIdleConnsPerHost: 1}
 	refuseRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &Client{
-		fenced:    fenced,
-		run:       &http.Client{Transport: run, CheckRedirect: refuseRedirect},
-		grant:     &http.Client{Transport: grant},
-		transport: run,
+		fenced: fenced,
+		run:    &http.Client{Transport: run, CheckRedirect: refuseRedirect},
+		grant:  &http.Client{Transport: grant},
 	}, func() {
 		run.CloseIdleConnections()
 		grant.CloseIdleConnections()
@@ -149,6 +147,11 @@
 	}
 	answer := readAnswer(resp, r)
 	answer.Server = to.ID
+	if answer.Reason == oriole.ReasonBadAnswer {
+		// The connection is out of step. It was closed if any of its answer is
+		// unread, and is idle by now if none is.
+		c.run.CloseIdleConnections()
+	}
 	return answer
 }
 
@@ -220,7 +223,8 @@
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
 	switch {
 	case err != nil:
-		return oriole.Lost(oriole.ReasonConnection)
+		// The server had begun to answer, so this is no sign of a crash.
+		return oriole.Lost(oriole.ReasonBadAnswer)
 	case len(body) > maxBody:
 		return oriole.Lost(oriole.ReasonTooLarge)
 	}
--- a/internal/oriolestandin/upstream.go
+++ b/internal/oriolestandin/upstream.go
@@ -90,13 +90,18 @@
 	cold     bool
 	draining bool
 	shedding bool
-	slow     float64
-	starts   uint64
-	thaw     chan struct{}
-	server   *http.Server
-	stopped  bool
-	cancel   context.CancelFunc
-	ctx      context.Context
+	crossing bool
+	// answers counts the answers while crossing; last is the one before.
+	answers int
+	last    answerBody
+	lastID  string
+	slow    float64
+	starts  uint64
+	thaw    chan struct{}
+	server  *http.Server
+	stopped bool
+	cancel  context.CancelFunc
+	ctx     context.Context
 }
 
 // NewUpstream returns an upstream that listens, and a function that stops it.
@@ -232,6 +237,14 @@
 	u.shedding = shedding
 }
 
+// SetCrossing makes the upstream give some answers to the wrong request, and cut
+// others off.
+func (u *Upstream) SetCrossing(crossing bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.crossing = crossing
+}
+
 // MakeCold turns the upstream cold without warning.
 func (u *Upstream) MakeCold() {
 	u.mu.Lock()
@@ -435,13 +448,42 @@
 }
 
 func (u *Upstream) answer(w http.ResponseWriter, r *http.Request, body []byte) {
-	w.Header().Set(orioleserver.HeaderRequest, r.Header.Get(orioleserver.HeaderRequest))
-	writeJSON(w, answerBody{
+	id, answer, cut := u.cross(r.Header.Get(orioleserver.HeaderRequest), answerBody{
 		Operation: r.Header.Get(HeaderOperation),
 		Path:      r.URL.Path,
 		Server:    u.cfg.Upstream.ID,
 		Size:      len(body),
 	})
+	w.Header().Set(orioleserver.HeaderRequest, id)
+	if cut {
+		w.Header().Set("Content-Length", strconv.Itoa(maxObject))
+		writeJSON(w, answer)
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, answer)
+}
+
+// Every crossEvery-th answer is that to the request before, and every
+// cutEvery-th is cut off, while the upstream crosses answers.
+const (
+	crossEvery = 5
+	cutEvery   = 7
+)
+
+// cross returns the answer to give, and whether to cut it off.
+func (u *Upstream) cross(id string, answer answerBody) (givenID string, given answerBody, cut bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	lastID, last := u.lastID, u.last
+	u.lastID, u.last = id, answer
+	if !u.crossing {
+		return id, answer, false
+	}
+	u.answers++
+	if u.answers%crossEvery == 0 && lastID != "" {
+		return lastID, last, false
+	}
+	return id, answer, u.answers%cutEvery == 0
 }
 
 // upstreamFaults are the faults that can be switched over HTTP.
