Clear requests that were accused when the server turns out to live

Cause: with answers cut off before their first byte, requests of a hot key were taken for crashing ones and refused for a minute. Change: when a server answers a request that began after the loss, under the same incarnation, the requests that were in flight at the loss are cleared. Conclusion: a crash is known by its new incarnation, not by the lost connection.

--- a/internal/oriolestandin/upstream.go
+++ b/internal/oriolestandin/upstream.go
@@ -458,6 +458,9 @@
 	if cut {
 		w.Header().Set("Content-Length", strconv.Itoa(maxObject))
 		writeJSON(w, answer)
+		if flusher, ok := w.(http.Flusher); ok {
+			flusher.Flush()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	writeJSON(w, answer)
--- a/pkg/oriole/oriolequeue/queue.go
+++ b/pkg/oriole/oriolequeue/queue.go
@@ -74,6 +74,8 @@
 		for i, s := range q.servers {
 			if old.Keeper && old.Incarnation[i] != routing.Incarnation[i] {
 				s.limit.drop()
+				// It did crash: what is accused stays so.
+				s.accused = nil
 			}
 		}
 	}
@@ -220,6 +222,9 @@
 		s.completed(now, now.Sub(job.started), q.usual)
 		q.learnUsual(s)
 		q.blame.cleared(job.print)
+		for _, print := range s.acquit(job.started) {
+			q.blame.cleared(print)
+		}
 	case answer.Reason == oriole.ReasonDrain:
 		// The keeper moves its slices away; requests wait for that.
 		s.pauseUntil = now.Add(connectPause)
@@ -230,6 +235,7 @@
 		s.limit.drop()
 		q.out.Suspects = append(q.out.Suspects, server)
 		q.blame.crashed(now, job.print, job.solo)
+		s.accuse(now, job.print)
 		q.out.Blamed = append(q.out.Blamed, Blame{Print: job.print, Alone: job.solo})
 	case answer.Reason == oriole.ReasonConnection:
 		s.limit.drop()
--- a/pkg/oriole/oriolequeue/queue_test.go
+++ b/pkg/oriole/oriolequeue/queue_test.go
@@ -381,3 +381,33 @@
 	f.take(f.q.Tick(f.now))
 	is.Equal(f.answers["r"], oriole.Lost(oriole.ReasonDeadline))
 }
+
+// TestCutConnectionConvictsNobody: a server that goes on answering under the
+// same incarnation did not crash, so the request is served again.
+func TestCutConnectionConvictsNobody(t *testing.T) {
+	for _, crashed := range []bool{false, true} {
+		t.Run(fmt.Sprint("crashed=", crashed), func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(1, true)
+			for i := range 2 {
+				r := f.request(fmt.Sprint("cut-", i), 0)
+				r.Target = "/cut"
+				f.arrive(r)
+				f.finish(r.ID, time.Millisecond, oriole.Lost(oriole.ReasonConnection))
+				f.now = f.now.Add(time.Second)
+			}
+			if crashed {
+				next := *f.routing
+				next.Incarnation = []uint64{1}
+				f.take(f.q.Route(f.now, &next))
+			}
+			f.arrive(f.request("other", 0))
+			f.finish("other", time.Millisecond, ok)
+			r := f.request("again", 0)
+			r.Target = "/cut"
+			f.arrive(r)
+			_, runs := f.running["again"]
+			is.Equal(runs, !crashed)
+		})
+	}
+}
--- a/pkg/oriole/oriolequeue/server.go
+++ b/pkg/oriole/oriolequeue/server.go
@@ -24,6 +24,27 @@
 	latency    time.Duration
 	lastRun    time.Time
 	pauseUntil time.Time
+	// accused are the requests that were in flight when a connection to this
+	// start of the server was lost last, at accusedAt.
+	accused   []Fingerprint
+	accusedAt time.Time
+}
+
+// accuse records a request that was in flight when a connection was lost.
+func (s *server) accuse(now time.Time, print Fingerprint) {
+	s.accused = append(s.accused, print)
+	s.accusedAt = now
+}
+
+// acquit returns the accused requests if a run that began later has been
+// answered by the same start of the server: then it did not crash.
+func (s *server) acquit(started time.Time) []Fingerprint {
+	if len(s.accused) == 0 || !started.After(s.accusedAt) {
+		return nil
+	}
+	acquitted := s.accused
+	s.accused = nil
+	return acquitted
 }
 
 func newServer(limits Limits) *server {
