--- a/internal/oriolestandin/upstream.go
+++ b/internal/oriolestandin/upstream.go
@@ -95,6 +95,7 @@
 	answers int
 	last    answerBody
 	lastID  string
+	load    loadHistory
 	slow    float64
 	starts  uint64
 	thaw    chan struct{}
@@ -119,6 +120,7 @@
 	mux.HandleFunc("POST "+orioleserver.GrantPath, u.grant)
 	mux.HandleFunc("GET "+orioleserver.HealthPath, u.health)
 	mux.HandleFunc("PUT /standin/faults", u.switchFaults)
+	mux.HandleFunc("GET "+LoadPath, u.serveLoad)
 	mux.HandleFunc("/", u.run)
 	if err := u.Start(); err != nil {
 		return nil, nil, err
@@ -324,6 +326,7 @@
 		return orioleserver.RefusedShed, false
 	}
 	u.running++
+	u.noteLoad()
 	return "", false
 }
 
@@ -416,6 +419,7 @@
 	defer u.mu.Unlock()
 	if u.running > 0 {
 		u.running--
+		u.noteLoad()
 	}
 	if done {
 		u.runs++
--- a/pkg/oriole/oriolegroup/group_test.go
+++ b/pkg/oriole/oriolegroup/group_test.go
@@ -272,3 +272,56 @@
 		}
 	}
 }
+
+// TestServersThatDoNotCheck drives a group whose servers can't arbitrate: at no
+// time may two gateways send work for a slice, and all is served at the end.
+func TestServersThatDoNotCheck(t *testing.T) {
+	for _, kind := range []string{
+		"keeper-crash", "keeper-pause", "deputy-cut", "server-crash", "store-down", "leave",
+	} {
+		for seed := range uint64(5) {
+			t.Run(fmt.Sprintf("%s/%d", kind, seed), func(t *testing.T) {
+				w := newWorld(seed, 4, 3, testSlices)
+				w.unfenced = true
+				for _, g := range w.gateways {
+					w.newMachine(g, false)
+				}
+				w.keepTrace = true
+				w.membersChanged()
+				w.runUntil(4 * time.Second)
+				end := w.inject(kind, 1)
+				for fault := w.now + 2*time.Second; w.now < fault; w.runUntil(w.now + time.Millisecond) {
+					w.checkSenders(t)
+				}
+				end()
+				for settled := w.now + 6*time.Second; w.now < settled; w.runUntil(w.now + time.Millisecond) {
+					w.checkSenders(t)
+				}
+				if n := w.sent(0); n != 1 {
+					t.Fatalf("%d gateways send work for slice 0 at the end\n%s", n, w.tail(60))
+				}
+			})
+		}
+	}
+}
+
+// sent returns how many gateways would send work for the slice now. A paused
+// gateway counts: it may wake in the middle of sending.
+func (w *world) sent(slice int) int {
+	n := 0
+	for _, g := range w.gateways {
+		r := g.machine.Routing()
+		if !g.dead && r.Keeper && r.Owner[slice] >= 0 && r.Serves(r.Owner[slice], g.clock(w.now)) {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *world) checkSenders(t *testing.T) {
+	for slice := range w.slices {
+		if n := w.sent(slice); n > 1 {
+			t.Fatalf("%d gateways send work for slice %d at %v\n%s", n, slice, w.now, w.tail(60))
+		}
+	}
+}
--- a/pkg/oriole/oriolegroup/move.go
+++ b/pkg/oriole/oriolegroup/move.go
@@ -237,7 +237,9 @@
 		}
 		from := k.table.Owner[slice]
 		giver := &k.servers[from]
-		if giver.accepted <= giver.releaseFrom {
+		// A server that does not check grants can't release; that no request
+		// runs and none is sent has to do.
+		if m.cfg.Fenced && giver.accepted <= giver.releaseFrom {
 			if !giver.waiting && !giver.lost {
 				m.sendGrant(now, from)
 			}
--- a/pkg/oriole/oriolegroup/world_test.go
+++ b/pkg/oriole/oriolegroup/world_test.go
@@ -23,6 +23,8 @@
 	servers  []*fakeServer
 	store    fakeStore
 	slices   int
+	// unfenced says that the servers do not check grants.
+	unfenced bool
 	timing   Timing
 	// cut holds the pairs of parties that can't reach each other.
 	cut map[[2]string]bool
@@ -146,7 +148,7 @@
 		Group:    "group",
 		Servers:  make([]oriole.Upstream, len(w.servers)),
 		Slices:   w.slices,
-		Fenced:   true,
+		Fenced:   !w.unfenced,
 		Timing:   w.timing,
 		Spreader: oriolespread.Even{},
 		Leveler:  oriolespread.Even{Level: true},
@@ -302,7 +304,10 @@
 	}
 	w.send(string(g.id), s.name, func() {
 		w.onServer(s, func() {
-			reply := s.holder.Apply(s.clock(w.now), grant)
+			reply := oriole.GrantReply{Accepted: true, Mark: 1, Term: grant.Term}
+			if !w.unfenced {
+				reply = s.holder.Apply(s.clock(w.now), grant)
+			}
 			if reply.Accepted && !slices.Equal(reply.Owned, grant.Owned) {
 				w.log("%s accepts term %d number %d of %s: %v", s.name, grant.Term, grant.Number, g.id, grant.Owned)
 			}
