Remove what nothing uses, and measure overload

Cause: reasons, load fields and a note's duration were declared and never set. Change: they are gone; a benchmark of goodput above capacity.

--- a/pkg/oriole/interfaces.go
+++ b/pkg/oriole/interfaces.go
@@ -91,9 +91,6 @@
 	Limit int
 	// Latency is a recent mean of run times.
 	Latency time.Duration
-	// Reported is the load report in [0, 1]; ReportAge tells how old it is.
-	Reported  float64
-	ReportAge time.Duration
 }
 
 // Picker chooses a server of an undivided service.
--- a/pkg/oriole/oriolegroup/event.go
+++ b/pkg/oriole/oriolegroup/event.go
@@ -1,10 +1,6 @@
 package oriolegroup
 
-import (
-	"time"
-
-	"github.com/orioleswitch/orioleswitch/pkg/oriole"
-)
+import "github.com/orioleswitch/orioleswitch/pkg/oriole"
 
 // Event is an input of [Machine.Step].
 type Event interface{ event() }
@@ -191,7 +187,6 @@
 	Term   oriole.Term
 	Server int
 	Count  int
-	Took   time.Duration
 }
 
 // NoteKind names an entry of the time line.
--- a/pkg/oriole/oriolequeue/bench_test.go
+++ b/pkg/oriole/oriolequeue/bench_test.go
@@ -43,7 +43,7 @@
 // simulate sends requests through a queue with the picker, and returns the
 // sorted times of the answered ones. The function slow tells whether a server
 // is slowed at a time.
-func simulate(picker string, slow func(server int, since time.Duration) bool) []time.Duration {
+func simulate(picker string, use float64, slow func(server int, since time.Duration) bool) []time.Duration {
 	f := newFixture(simServers, false)
 	rng := rand.New(rand.NewPCG(42, 1))
 	f.q.cfg.Picker, _ = oriolepick.New(picker, rng)
@@ -51,7 +51,7 @@
 	f.now = start.Add(time.Minute)
 	var events simEvents
 	var times []time.Duration
-	gap := float64(simWork) / (simServers * 2 * simUse)
+	gap := float64(simWork) / (simServers * 2 * use)
 	begin := f.now
 	next := func(at time.Time) {
 		heap.Push(&events, simEvent{at: at.Add(time.Duration(rng.ExpFloat64() * gap))})
@@ -89,6 +89,19 @@
 	return times
 }
 
+// BenchmarkOverload reports the answered share of what the servers could do, at
+// loads below and above that.
+func BenchmarkOverload(b *testing.B) {
+	for _, use := range []float64{0.9, 1, 1.5, 3} {
+		b.Run(fmt.Sprint(use), func(b *testing.B) {
+			times := simulate("expected", use, func(int, time.Duration) bool { return false })
+			offered := float64(simRequests)
+			b.ReportMetric(100*float64(len(times))/offered*use, "goodput-%")
+			b.ReportMetric(float64(times[len(times)*99/100].Microseconds())/1000, "p99-ms")
+		})
+	}
+}
+
 // BenchmarkPickers compares the ways to choose a server in one run: without a
 // slow server, with one that is slow for good, and with one that is slow for
 // 200 ms in each second.
@@ -106,7 +119,7 @@
 	for _, scene := range scenes {
 		for _, picker := range []string{"random", "round-robin", "least", "power-of-two", "expected"} {
 			b.Run(scene.name+"/"+picker, func(b *testing.B) {
-				times := simulate(picker, scene.slow)
+				times := simulate(picker, simUse, scene.slow)
 				at := func(share float64) float64 {
 					return float64(times[int(share*float64(len(times)-1))].Microseconds()) / 1000
 				}
--- a/pkg/oriole/request.go
+++ b/pkg/oriole/request.go
@@ -36,7 +36,6 @@
 	ReasonNone Reason = iota
 	ReasonQueueFull
 	ReasonDeadline
-	ReasonNoOwner
 	ReasonNotKeeper
 	ReasonShed
 	ReasonFenced
@@ -44,17 +43,14 @@
 	ReasonBadAnswer
 	ReasonCrash
 	ReasonCancelled
-	ReasonRepeat
-	ReasonShutdown
 	ReasonTooLarge
 	ReasonDrain
 	reasonCount
 )
 
 var reasonNames = [...]string{
-	"none", "queue-full", "deadline", "no-owner", "not-keeper", "shed",
-	"fenced", "connection", "bad-answer", "crash", "cancelled", "repeat",
-	"shutdown", "too-large", "drain",
+	"none", "queue-full", "deadline", "not-keeper", "shed", "fenced",
+	"connection", "bad-answer", "crash", "cancelled", "too-large", "drain",
 }
 
 // String returns the reason as callers see it in a header.
