--- a/internal/oriolecapacity/measure.go
+++ b/internal/oriolecapacity/measure.go
@@ -1,14 +1,17 @@
 package oriolecapacity
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"runtime"
 	"time"
 
+	"github.com/orioleswitch/orioleswitch/internal/orioleserver"
 	"github.com/orioleswitch/orioleswitch/internal/oriolewire"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleconfig"
@@ -51,6 +54,9 @@
 		{"memory of ownership", "groups kept", "bytes", counts, machineMemory},
 		{"memory of ownership", "slices of one group", "bytes", []int{1024, 4096, 16384, 65536}, sliceMemory},
 		{"memory of queues", "groups kept", "bytes", counts, queueMemory},
+		{"memory of queues", "upstreams of one group", "bytes", counts, serverMemory},
+		{"lease renewal over HTTP, both ends", "renewals", "us", []int{250, 500, 1000, 2000}, renewalTime},
+		{"snapshot for a new gateway", "groups", "bytes", counts, func(n int) float64 { return float64(n * frameBytes(viewFrame())) }},
 		{"memory of idempotency keys", "keys", "bytes", []int{1024, 4096, 16384, 65536}, tokenMemory},
 		{"memory of views", "groups", "bytes", []int{256, 1024, 4096, 16384}, viewMemory},
 	}
@@ -321,19 +327,21 @@
 	return heap(func() any { return newBystanders(groups) })
 }
 
-// newQueue returns a queue whose servers all serve.
-func newQueue(tokens int) *oriolequeue.Queue {
+// newQueue returns a queue of a group whose servers all serve.
+func newQueue(tokens int) *oriolequeue.Queue { return newQueueOf(groupServers, tokens) }
+
+func newQueueOf(servers, tokens int) *oriolequeue.Queue {
 	picker, err := oriolepick.New("expected", rand.New(rand.NewPCG(1, 1)))
 	if err != nil {
 		panic(err)
 	}
 	limits := oriolequeue.DefaultLimits()
 	limits.Tokens = tokens
-	q := oriolequeue.New(oriolequeue.Config{Servers: groupServers, Divided: true, Limits: limits, Picker: picker}, nil)
+	q := oriolequeue.New(oriolequeue.Config{Servers: servers, Divided: true, Limits: limits, Picker: picker}, nil)
 	routing := &oriole.Routing{
 		Keeper: true, Term: 2, Owner: make([]int, groupSlices),
-		Until: make([]time.Time, groupServers), Incarnation: make([]uint64, groupServers),
-		Lost: make([]bool, groupServers), Out: make([]bool, groupServers),
+		Until: make([]time.Time, servers), Incarnation: make([]uint64, servers),
+		Lost: make([]bool, servers), Out: make([]bool, servers),
 	}
 	for i := range routing.Until {
 		routing.Until[i] = time.Unix(1<<40, 0)
@@ -400,6 +408,40 @@
 	})
 }
 
+func serverMemory(servers int) float64 {
+	return heap(func() any { return newQueueOf(servers, 1) })
+}
+
+// renewalTime renews the lease of a server on loopback, one time after the
+// other.
+func renewalTime(n int) float64 {
+	holder := oriolefence.NewHolder(1, 0)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var wire oriolewire.Grant
+		if err := json.NewDecoder(r.Body).Decode(&wire); err != nil {
+			panic(err)
+		}
+		g, err := wire.ToGrant()
+		if err != nil {
+			panic(err)
+		}
+		if err := json.NewEncoder(w).Encode(oriolewire.FromGrantReply(holder.Apply(time.Hour, g))); err != nil {
+			panic(err)
+		}
+	}))
+	defer server.Close()
+	client, cleanup := orioleserver.New(true, 2)
+	defer cleanup()
+	to := oriole.Upstream{ID: "u", Addr: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	return best(func() {
+		for range n {
+			if _, err := client.Grant(context.Background(), to, grant(10)); err != nil {
+				panic(err)
+			}
+		}
+	})
+}
+
 func tokenMemory(keys int) float64 {
 	return heap(func() any {
 		q := newQueue(keys)
