Serve the users' platform: the whole path, thin

Cause: the product knew fixed groups of servers only. On the platform upstreams register themselves, own ranges of keys and fence for themselves.

Change: pkg/oriole gets configurations, routes, assignments of key ranges and the interfaces of a directory; oriolerouter is the supervisor tree of a gateway there; platform/ alone speaks the platform's language.

--- a/internal/oriolecli/cli.go
+++ b/internal/oriolecli/cli.go
@@ -47,6 +47,7 @@
 	parser := flags.NewNamedParser("orioleswitch", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "routes requests to servers that own keys exclusively"
 	add(parser, "run", "Run a gateway", &runCommand{env: env})
+	add(parser, "serve", "Run a gateway on a platform with a directory of upstreams", &serveCommand{env: env})
 	add(parser, "check", "Check settings", &checkCommand{env: env})
 	add(parser, "capacity", "Measure how costs grow with sizes", &capacityCommand{env: env})
 	add(parser, "demo", "Run a whole system in one process", &demoCommand{env: env})
--- /dev/null
+++ b/internal/oriolecli/serve.go
@@ -0,0 +1,114 @@
+package oriolecli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/apex/log"
+	applog "github.com/apex/log/handlers/json"
+
+	"github.com/orioleswitch/orioleswitch/internal/oriolerouter"
+	"github.com/orioleswitch/orioleswitch/internal/orioleupstream"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
+	"github.com/orioleswitch/orioleswitch/platform"
+)
+
+// memoryPart is the part of a process's memory that the heap may take before
+// it is collected hard; the rest is for stacks and what the system counts.
+const memoryPart = 0.6
+
+// serveCommand runs one gateway on the platform.
+type serveCommand struct {
+	env      *environment
+	Settings string `long:"settings" required:"true" description:"settings of this gateway"`
+	Level    string `long:"log" default:"info" description:"least level of the lines that are logged"`
+}
+
+// Execute implements flags.Commander.
+func (c *serveCommand) Execute(args []string) error {
+	if err := noArguments(args); err != nil {
+		return err
+	}
+	settings, err := oriolerouter.LoadSettings(c.Settings)
+	if err != nil {
+		return err
+	}
+	level, err := log.ParseLevel(c.Level)
+	if err != nil {
+		return usageError{err}
+	}
+	logger := &log.Logger{Handler: applog.New(c.env.stdout), Level: level}
+	debug.SetMemoryLimit(int64(memoryPart * float64(settings.Memory)))
+	router, cleanup, err := newRouter(settings, logger.WithField("vm", settings.VM))
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	return c.serve(router, logger)
+}
+
+// newRouter returns a gateway that speaks the platform's language.
+func newRouter(settings oriolerouter.Settings, logger log.Interface) (r *oriolerouter.Router, cleanup func(), err error) {
+	directory, closeDirectory := platform.New(settings.Store, func(kind, name string, err error) {
+		logger.WithError(err).WithFields(log.Fields{"kind": kind, "name": name}).Warn("entry not read")
+	})
+	requests, closeRequests := orioleupstream.New()
+	orders, closeOrders := orioleupstream.New()
+	router, closeRouter, err := oriolerouter.New(settings, oriolerouter.Platform{
+		Directory: directory,
+		Dialect:   platform.Dialect{},
+		Leaser:    platform.NewLeaser(orders),
+		Sender:    orioleupstream.NewSender(requests, platform.Dialect{}, orioletimer.New()),
+		Forget:    requests.Forget,
+	}, logger)
+	if err != nil {
+		closeDirectory()
+		closeRequests()
+		closeOrders()
+		return nil, nil, err
+	}
+	return router, func() {
+		closeRouter()
+		closeOrders()
+		closeRequests()
+		closeDirectory()
+	}, nil
+}
+
+// serve runs the gateway until it is told to end, then lets it leave.
+func (c *serveCommand) serve(router *oriolerouter.Router, logger log.Interface) error {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	ended := router.ServeBackground(ctx)
+	logger.Info("started")
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case <-hangups:
+			c.reload(logger)
+		case <-c.env.ctx.Done():
+			err := router.Leave(context.Background())
+			stop()
+			<-ended
+			logger.Info("stopped")
+			return err
+		}
+	}
+}
+
+// reload checks the settings file anew. What it holds is fixed at the start of
+// a gateway.
+func (c *serveCommand) reload(logger log.Interface) {
+	if _, err := oriolerouter.LoadSettings(c.Settings); err != nil {
+		logger.WithError(err).Warn("settings not taken")
+		return
+	}
+	logger.Info("settings checked")
+}
--- /dev/null
+++ b/internal/oriolerouter/duties.go
@@ -0,0 +1,82 @@
+package oriolerouter
+
+import (
+	"context"
+	"time"
+
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
+)
+
+// timerDuty runs the timer service.
+type timerDuty struct{ timers *orioletimer.Service }
+
+func (d timerDuty) String() string { return "timers" }
+
+// Serve implements suture.Service.
+func (d timerDuty) Serve(ctx context.Context) error { return d.timers.Serve(ctx) }
+
+// announceDuty lists the gateway in the directory.
+type announceDuty struct{ router *Router }
+
+func (d *announceDuty) String() string { return "announce" }
+
+// announcePause is the pause between tries.
+const announcePause = 300 * time.Millisecond
+
+// Serve implements suture.Service.
+func (d *announceDuty) Serve(ctx context.Context) error {
+	r := d.router
+	for ctx.Err() == nil && !r.leaving.Load() {
+		err := r.platform.Directory.Announce(ctx, r.self)
+		if err == nil {
+			r.known.Store(true)
+			r.log.Info("announced")
+			break
+		}
+		r.log.WithError(err).Warn("not announced")
+		timer := time.NewTimer(announcePause)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// membersDuty tells the links which gateways are listed.
+type membersDuty struct{ router *Router }
+
+func (d *membersDuty) String() string { return "follow members" }
+
+// Serve implements suture.Service.
+func (d *membersDuty) Serve(ctx context.Context) error {
+	changed := d.router.hub.Subscribe()
+	var last map[oriole.GatewayID]oriole.Member
+	for {
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		members := d.router.hub.World().Gateways
+		if !sameMembers(last, members) {
+			d.router.links.SetMembers(members)
+			last = members
+		}
+	}
+}
+
+func sameMembers(a, b map[oriole.GatewayID]oriole.Member) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for id := range a {
+		if _, found := b[id]; !found {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/oriolerouter/oriolekeep/keep.go
@@ -0,0 +1,274 @@
+// Package oriolekeep is the subtree that sends requests to upstreams: one duty
+// owns the lines of all pools that this gateway keeps, and others send.
+package oriolekeep
+
+import (
+	"context"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/orioleswitch/orioleswitch/internal/oriolegateway/oriolesight"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolekeeper"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolepool"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolering"
+)
+
+const (
+	// ringSize bounds what waits for the keeping duty, and what waits for a
+	// sender.
+	ringSize = 1024
+	// senders bounds the requests that run at once. A gateway that is alone
+	// keeps all pools of a site: some 35 upstreams with two slots each.
+	senders = 96
+	// tickInterval is how often the lines are looked through for requests
+	// that can't be served in time any more.
+	tickInterval = 25 * time.Millisecond
+	// poolIdle is how long a pool is kept in which nothing happens.
+	poolIdle = 20 * time.Second
+)
+
+// Worlds is where the keeper learns what is believed of the system.
+type Worlds interface {
+	World() *oriole.World
+	Subscribe() <-chan struct{}
+}
+
+// Config describes the subtree.
+type Config struct {
+	Worlds  Worlds
+	Sender  oriole.Sender
+	Timers  oriole.Timers
+	Metrics *oriolesight.Metrics
+	Log     log.Interface
+	// Forget is told which lives of upstreams are still of use.
+	Forget func(keep func(oriole.Life) bool)
+}
+
+// Keeper is the subtree. It implements suture.Service.
+type Keeper struct {
+	*suture.Supervisor
+	cfg    Config
+	events *oriolering.Ring[event]
+	starts *oriolering.Ring[start]
+}
+
+// event is an input of the keeping duty. Exactly one field is set.
+type event struct {
+	arrival *arrival
+	result  *result
+	cancel  *arrival
+}
+
+type arrival struct {
+	ctx     context.Context
+	request oriole.Request
+	reply   func(oriole.Answer)
+	// job and pool are set once the keeping duty has taken it.
+	job  oriolepool.JobID
+	pool oriole.PoolID
+}
+
+type start struct {
+	arrival *arrival
+	pool    oriole.PoolID
+	oriolepool.Start
+}
+
+type result struct {
+	pool   oriole.PoolID
+	job    oriolepool.JobID
+	answer oriole.Answer
+}
+
+// New returns the subtree.
+func New(cfg Config, spec suture.Spec) *Keeper {
+	k := &Keeper{
+		Supervisor: suture.New("keep", spec),
+		cfg:        cfg,
+		events:     oriolering.New[event](ringSize),
+		starts:     oriolering.New[start](ringSize),
+	}
+	k.Add(&keepDuty{keeper: k})
+	for range senders {
+		k.Add(&sendDuty{k})
+	}
+	return k
+}
+
+// Do runs the request on the pool that it names. The reply is called once.
+func (k *Keeper) Do(ctx context.Context, r oriole.Request, reply func(oriole.Answer)) {
+	a := &arrival{ctx: ctx, request: r, reply: reply}
+	if !k.events.Offer(event{arrival: a}) {
+		reply(oriole.Refuse(oriole.ReasonQueueFull))
+		return
+	}
+	context.AfterFunc(ctx, func() {
+		// If the ring is full the request runs to its deadline.
+		k.events.Offer(event{cancel: a})
+	})
+}
+
+// sendDuty sends one request at a time.
+type sendDuty struct{ keeper *Keeper }
+
+func (d *sendDuty) String() string { return "send" }
+
+// Serve implements suture.Service.
+func (d *sendDuty) Serve(ctx context.Context) error {
+	k := d.keeper
+	for {
+		s, err := k.starts.Take(ctx)
+		if err != nil {
+			return err
+		}
+		sendCtx, cancel := context.WithCancel(ctx)
+		stop := func() bool { return true }
+		if s.Request.Idempotent {
+			// The work of others goes on: its effect was asked for.
+			stop = context.AfterFunc(s.arrival.ctx, cancel)
+		}
+		answer := k.cfg.Sender.Send(sendCtx, s.To, s.Request)
+		stop()
+		cancel()
+		if err := k.events.Put(ctx, event{result: &result{s.pool, s.Job, answer}}); err != nil {
+			return err
+		}
+	}
+}
+
+// keepDuty owns the pools.
+type keepDuty struct {
+	keeper *Keeper
+	pools  map[oriole.PoolID]*kept
+	next   oriolepool.JobID
+}
+
+// kept is a pool and the requests in it.
+type kept struct {
+	pool *oriolepool.Pool
+	jobs map[oriolepool.JobID]*arrival
+	used time.Time
+}
+
+func (d *keepDuty) String() string { return "keep pools" }
+
+// Serve implements suture.Service.
+func (d *keepDuty) Serve(ctx context.Context) error {
+	k := d.keeper
+	// A duty that starts again knows no requests; their callers time out.
+	d.pools = make(map[oriole.PoolID]*kept)
+	changed := k.cfg.Worlds.Subscribe()
+	ticks, stop := k.cfg.Timers.Subscribe(tickInterval)
+	defer stop()
+	for {
+		select {
+		case e := <-k.events.Out():
+			d.take(ctx, k.cfg.Timers.Now(), e)
+		case <-changed:
+			d.update(ctx, k.cfg.Timers.Now())
+		case now := <-ticks:
+			d.tick(ctx, now)
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (d *keepDuty) take(ctx context.Context, now time.Time, e event) {
+	switch {
+	case e.arrival != nil:
+		d.arrive(ctx, now, e.arrival)
+	case e.cancel != nil:
+		if p := d.pools[e.cancel.pool]; p != nil && p.jobs[e.cancel.job] == e.cancel {
+			p.pool.Cancel(e.cancel.job)
+			d.carryOut(ctx, e.cancel.pool, p)
+		}
+	case e.result != nil:
+		if p := d.pools[e.result.pool]; p != nil {
+			p.pool.Done(now, e.result.job, e.result.answer)
+			d.carryOut(ctx, e.result.pool, p)
+		}
+	}
+}
+
+func (d *keepDuty) arrive(ctx context.Context, now time.Time, a *arrival) {
+	if a.ctx.Err() != nil {
+		a.reply(oriole.Refuse(oriole.ReasonCancelled))
+		return
+	}
+	id := a.request.Pool
+	p := d.pools[id]
+	if p == nil {
+		p = &kept{pool: oriolepool.New(), jobs: make(map[oriolepool.JobID]*arrival)}
+		d.pools[id] = p
+		d.updatePool(now, id, p)
+	}
+	p.used = now
+	d.next++
+	a.job, a.pool = d.next, id
+	p.jobs[a.job] = a
+	p.pool.Arrive(now, a.job, a.request)
+	d.carryOut(ctx, id, p)
+}
+
+// update tells the pools of a change of the world.
+func (d *keepDuty) update(ctx context.Context, now time.Time) {
+	for id, p := range d.pools {
+		d.updatePool(now, id, p)
+		d.carryOut(ctx, id, p)
+	}
+	world := d.keeper.cfg.Worlds.World()
+	d.keeper.cfg.Forget(func(life oriole.Life) bool {
+		u, listed := world.Upstreams[life.ID]
+		return listed && u.Life() == life
+	})
+}
+
+func (d *keepDuty) updatePool(now time.Time, id oriole.PoolID, p *kept) {
+	world := d.keeper.cfg.Worlds.World()
+	var service oriole.Service
+	if world.Config != nil {
+		service = world.Config.Services[id.Service]
+	}
+	var members []oriole.Upstream
+	for _, u := range world.UsableOf(id.Service) {
+		if oriolekeeper.PoolOf(u, id.Server != "") == id {
+			members = append(members, u)
+		}
+	}
+	p.pool.Update(now, service, members)
+}
+
+func (d *keepDuty) tick(ctx context.Context, now time.Time) {
+	for id, p := range d.pools {
+		switch {
+		case p.pool.Waiting() > 0:
+			p.pool.Tick(now)
+			d.carryOut(ctx, id, p)
+		case p.pool.Idle() && now.Sub(p.used) > poolIdle:
+			delete(d.pools, id)
+		}
+	}
+}
+
+// carryOut does what the pool wants done.
+func (d *keepDuty) carryOut(ctx context.Context, id oriole.PoolID, p *kept) {
+	for _, effect := range p.pool.Take() {
+		switch {
+		case effect.Start != nil:
+			s := start{arrival: p.jobs[effect.Start.Job], pool: id, Start: *effect.Start}
+			if !d.keeper.starts.Offer(s) {
+				p.pool.Done(d.keeper.cfg.Timers.Now(), effect.Start.Job, oriole.Refuse(oriole.ReasonQueueFull))
+				d.carryOut(ctx, id, p)
+			}
+		case effect.Answer != nil:
+			a := p.jobs[effect.Answer.Job]
+			delete(p.jobs, effect.Answer.Job)
+			d.keeper.cfg.Metrics.Add("pool_"+effect.Answer.Answer.Outcome.String()+"_"+effect.Answer.Answer.Reason.String(), 1)
+			a.reply(effect.Answer.Answer)
+		}
+	}
+}
--- /dev/null
+++ b/internal/oriolerouter/receiver.go
@@ -0,0 +1,67 @@
+package oriolerouter
+
+import (
+	"context"
+
+	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+)
+
+// receiver sorts what peers send to the subtrees.
+type receiver struct{ router *Router }
+
+// Asked implements oriolelink.Receiver.
+func (v receiver) Asked(ctx context.Context, r oriole.Request, reply func(oriole.Answer)) {
+	v.router.keeper.Do(ctx, r, reply)
+}
+
+// Met implements oriolelink.Receiver.
+func (v receiver) Met(ctx context.Context, m oriole.Member) { v.router.hub.Met(ctx, m) }
+
+// Heard implements oriolelink.Receiver.
+func (v receiver) Heard(ctx context.Context, alive map[oriole.GatewayID]bool) {
+	v.router.hub.Heard(ctx, alive)
+}
+
+// Pulse implements oriolelink.Receiver.
+func (v receiver) Pulse() *oriolemessage.Pulse {
+	return &oriolemessage.Pulse{
+		Leaving: v.router.leaving.Load(),
+		Silent:  []string{},
+		Rights:  oriolemessage.FromRights(v.router.lead.Rights()),
+	}
+}
+
+// Received implements oriolelink.Receiver.
+func (v receiver) Received(ctx context.Context, from oriole.GatewayID, frame *oriolemessage.Frame) {
+	r := v.router
+	switch {
+	case frame.Pulse != nil:
+		v.pulsed(ctx, from, frame.Pulse)
+	case frame.Table != nil:
+		a, err := frame.Table.ToAssignment()
+		if err != nil {
+			r.metrics.Add("link_frames_refused", 1)
+			return
+		}
+		r.hub.Told(ctx, a)
+		r.lead.Told(ctx, a)
+	case frame.Load != nil:
+		counts := make(map[int]int, len(frame.Load.Buckets))
+		for _, b := range frame.Load.Buckets {
+			counts[b.Index] += b.Count
+		}
+		r.lead.Loaded(ctx, oriole.ServiceName(frame.Load.Service), counts)
+	}
+}
+
+func (v receiver) pulsed(ctx context.Context, from oriole.GatewayID, pulse *oriolemessage.Pulse) {
+	r := v.router
+	for _, right := range pulse.Rights {
+		r.lead.Heard(ctx, from, oriole.ServiceName(right.Service), right.Term)
+	}
+	if m, listed := r.hub.World().Gateways[from]; listed && m.Leaving != pulse.Leaving {
+		m.Leaving = pulse.Leaving
+		r.hub.Met(ctx, m)
+	}
+}
--- /dev/null
+++ b/pkg/oriole/orioleassign/lease.go
@@ -0,0 +1,87 @@
+package orioleassign
+
+import (
+	"time"
+
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+)
+
+// lease is what the leader knows of one range.
+type lease struct {
+	oriole.Range
+	// sent is the latest time at which a grant to the owner may have reached
+	// it, so that its lease ends a hold later at the latest.
+	sent time.Time
+	// due is when the next grant goes out.
+	due time.Time
+	// granted says that the owner has accepted a grant from this leader.
+	granted bool
+	// fenced says that the owner refused a grant.
+	fenced bool
+	givers []giver
+	// handover is what the last giver returned for the next owner.
+	handover string
+}
+
+// giver is an earlier owner that may still hold the range.
+type giver struct {
+	life oriole.Life
+	sent time.Time
+	due  time.Time
+	busy bool
+}
+
+// follow returns the leases of ranges, which replace the leases in old. What
+// was sent to an owner or giver is carried over by the points it was sent for.
+func follow(old []lease, ranges []oriole.Range, unknown, now time.Time) []lease {
+	next := make([]lease, 0, len(ranges))
+	for _, r := range ranges {
+		l := lease{Range: r, sent: unknown, due: now}
+		if len(old) > 0 {
+			l.sent, l.granted = sentTo(old, r, r.Owner, time.Time{})
+		}
+		l.givers = make([]giver, 0, len(r.Givers))
+		for _, life := range r.Givers {
+			g := giver{life: life, sent: unknown, due: now}
+			if len(old) > 0 {
+				g.sent, _ = sentTo(old, r, life, time.Time{})
+			}
+			l.givers = append(l.givers, g)
+		}
+		for i := range old {
+			o := &old[i]
+			if o.Fence == r.Fence && o.First <= r.First && r.Last <= o.Last {
+				l.due, l.handover = o.due, o.handover
+				break
+			}
+		}
+		next = append(next, l)
+	}
+	return next
+}
+
+// sentTo returns the latest time at which a grant of any of the range's points
+// may have reached the life, and whether it holds them all by the grant of the
+// range's fence.
+func sentTo(old []lease, r oriole.Range, life oriole.Life, never time.Time) (sent time.Time, granted bool) {
+	sent = never
+	granted = true
+	for i := range old {
+		o := &old[i]
+		if o.Last < r.First || o.First > r.Last {
+			continue
+		}
+		if o.Owner != life || o.Fence != r.Fence || !o.granted {
+			granted = false
+		}
+		if o.Owner == life && o.sent.After(sent) {
+			sent = o.sent
+		}
+		for _, g := range o.givers {
+			if g.life == life && g.sent.After(sent) {
+				sent = g.sent
+			}
+		}
+	}
+	return sent, granted
+}
--- /dev/null
+++ b/pkg/oriole/orioleassign/order.go
@@ -0,0 +1,312 @@
+package orioleassign
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+)
+
+// releasesAtOnce bounds the releases under way at one upstream; each may wait
+// for work to end.
+const releasesAtOnce = 4
+
+// entitled reports whether the leader may still send orders.
+func (m *Machine) entitled(now time.Time) bool { return now.Before(m.confirmed.Add(m.cfg.Right)) }
+
+// expiry returns when the last lease that may have reached an upstream by sent
+// has certainly ended, by the slowest clock.
+func (m *Machine) expiry(sent time.Time) time.Time {
+	if sent.IsZero() {
+		return sent
+	}
+	drift := time.Duration(float64(m.cfg.Hold) * m.cfg.Drift)
+	return sent.Add(m.cfg.Hold + drift + m.cfg.Flight)
+}
+
+func (m *Machine) holder(life oriole.Life) *holder {
+	h := m.holders[life]
+	if h == nil {
+		h = &holder{}
+		m.holders[life] = h
+	}
+	return h
+}
+
+// upstream returns the description of a life, if the directory still lists it
+// or did when it last held something.
+func (m *Machine) upstream(life oriole.Life) (oriole.Upstream, bool) {
+	u, found := m.world.Upstreams[life.ID]
+	if found && u.Life() == life {
+		return u, true
+	}
+	u, found = m.world.Departed[life]
+	return u, found
+}
+
+// over reports whether a life has certainly ended.
+func (m *Machine) over(life oriole.Life) bool {
+	if u, found := m.world.Upstreams[life.ID]; found && u.Born.After(life.Born) {
+		return true
+	}
+	h := m.holders[life]
+	return h != nil && h.ended
+}
+
+// orderAll sends the orders that are due.
+func (m *Machine) orderAll(now time.Time) {
+	if !m.entitled(now) {
+		return
+	}
+	if m.settleGivers(now) {
+		m.tell()
+	}
+	for i := range m.leases {
+		m.orderReleases(now, &m.leases[i])
+	}
+	m.orderGrants(now)
+	m.orderProbes(now)
+}
+
+// settleGivers drops the givers whose leases have ended, and reports whether
+// there were any.
+func (m *Machine) settleGivers(now time.Time) bool {
+	settled := false
+	for i := range m.leases {
+		l := &m.leases[i]
+		n := len(l.givers)
+		l.givers = slices.DeleteFunc(l.givers, func(g giver) bool {
+			return m.over(g.life) || (now.After(m.expiry(g.sent)) && !m.flying(g.life, l.First, l.Last))
+		})
+		if len(l.givers) < n {
+			m.settled(now, l)
+			settled = true
+		}
+	}
+	return settled
+}
+
+// settled makes the table say which givers of the lease are left.
+func (m *Machine) settled(now time.Time, l *lease) {
+	l.Givers = nil
+	for _, g := range l.givers {
+		l.Givers = append(l.Givers, g.life)
+	}
+	l.due = now
+	i, found := slices.BinarySearchFunc(m.stored.Ranges, l.First, func(r oriole.Range, p oriole.Point) int {
+		return int(r.First) - int(p)
+	})
+	if !found || m.stored.Ranges[i].Fence != l.Fence {
+		return
+	}
+	m.stored = m.stored.Clone()
+	m.stored.Ranges[i].Givers = slices.Clone(l.Givers)
+	m.seq++
+	m.stored.Seq = m.seq
+	m.dirty = true
+}
+
+// flying reports whether a grant of any of the points to the life is under
+// way.
+func (m *Machine) flying(life oriole.Life, first, last oriole.Point) bool {
+	for _, c := range m.calls {
+		if c.kind == orderGrant && c.life == life && c.first <= last && first <= c.last {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) orderReleases(now time.Time, l *lease) {
+	for i := range l.givers {
+		g := &l.givers[i]
+		h := m.holder(g.life)
+		if g.busy || g.due.After(now) || h.releasing >= releasesAtOnce {
+			continue
+		}
+		to, found := m.upstream(g.life)
+		if !found {
+			continue
+		}
+		g.busy = true
+		h.releasing++
+		order := m.order(orderRelease, to, *l)
+		m.out = append(m.out, Effect{Release: order})
+	}
+}
+
+// orderGrants sends each upstream the grant that is due first: one at a time,
+// so that they go over one kept connection.
+func (m *Machine) orderGrants(now time.Time) {
+	due := make(map[oriole.Life]*lease)
+	for i := range m.leases {
+		l := &m.leases[i]
+		if !l.Ready() || l.due.After(now) || m.over(l.Owner) || m.holder(l.Owner).granting {
+			continue
+		}
+		if first := due[l.Owner]; first == nil || l.due.Before(first.due) {
+			due[l.Owner] = l
+		}
+	}
+	for i := range m.leases {
+		l := &m.leases[i]
+		if due[l.Owner] != l {
+			continue
+		}
+		to, found := m.upstream(l.Owner)
+		if !found {
+			continue
+		}
+		m.holder(l.Owner).granting = true
+		order := m.order(orderGrant, to, *l)
+		order.Lease.Hold = m.cfg.Hold
+		order.Lease.Handover = l.handover
+		m.out = append(m.out, Effect{Grant: order})
+	}
+}
+
+// orderProbes finds out which upstreams without ranges can be reached.
+func (m *Machine) orderProbes(now time.Time) {
+	for _, u := range m.world.UsableOf(m.cfg.Service) {
+		h := m.holder(u.Life())
+		if h.probing || h.granting || m.owns(u.Life()) || now.Sub(h.probed) < probedFor || h.downUntil.After(now) {
+			continue
+		}
+		h.probing = true
+		m.out = append(m.out, Effect{Probe: m.order(orderProbe, u, lease{})})
+	}
+}
+
+func (m *Machine) owns(life oriole.Life) bool {
+	return slices.ContainsFunc(m.leases, func(l lease) bool { return l.Owner == life })
+}
+
+func (m *Machine) order(kind orderKind, to oriole.Upstream, l lease) *Order {
+	m.lastCall++
+	m.calls[m.lastCall] = call{kind: kind, life: to.Life(), first: l.First, last: l.Last, fence: l.Fence}
+	return &Order{
+		Call:   m.lastCall,
+		To:     to,
+		Lease:  oriole.LeaseOrder{First: l.First, Last: l.Last, Fence: l.Fence},
+		Before: m.confirmed.Add(m.cfg.Right),
+	}
+}
+
+// OrderDone takes the result of an order. The handover is that of a release.
+func (m *Machine) OrderDone(now time.Time, id CallID, handover string, err error) {
+	c, found := m.calls[id]
+	if !found {
+		return
+	}
+	delete(m.calls, id)
+	h := m.holder(c.life)
+	switch c.kind {
+	case orderGrant:
+		h.granting = false
+		m.granted(now, c, h, err)
+	case orderRelease:
+		h.releasing--
+		m.released(now, c, handover, err)
+	case orderProbe:
+		h.probing = false
+		if err == nil {
+			h.probed, h.down = now, false
+			m.planDue = now
+		}
+	}
+	m.judge(now, c.life, h, err)
+	m.Tick(now)
+}
+
+// granted records what a grant's answer proves.
+func (m *Machine) granted(now time.Time, c call, h *holder, err error) {
+	for i := range m.leases {
+		l := &m.leases[i]
+		if l.Last < c.first || c.last < l.First {
+			continue
+		}
+		mayHold := !errors.Is(err, oriole.ErrNotSent) && !errors.Is(err, oriole.ErrUnreachable)
+		for j := range l.givers {
+			if l.givers[j].life == c.life && mayHold {
+				l.givers[j].sent = now
+			}
+		}
+		if l.Owner != c.life {
+			continue
+		}
+		if mayHold {
+			l.sent = now
+		}
+		if l.Fence != c.fence {
+			continue
+		}
+		switch {
+		case err == nil:
+			l.granted, l.fenced = true, false
+			l.due = now.Add(m.cfg.Renew)
+		case errors.Is(err, oriole.ErrFenced):
+			l.fenced = true
+			l.due = now.Add(retryWait)
+		default:
+			l.due = now.Add(retryWait)
+		}
+	}
+	if errors.Is(err, oriole.ErrFenced) {
+		// Either another gateway leads, or the range needs a new fence.
+		m.read(now, false)
+	}
+}
+
+// released records what a release's answer proves.
+func (m *Machine) released(now time.Time, c call, handover string, err error) {
+	for i := range m.leases {
+		l := &m.leases[i]
+		if l.Last < c.first || c.last < l.First {
+			continue
+		}
+		for j := range l.givers {
+			g := &l.givers[j]
+			if g.life != c.life {
+				continue
+			}
+			g.busy = false
+			g.due = now.Add(retryWait)
+		}
+		inside := c.first <= l.First && l.Last <= c.last
+		if err != nil || !inside || l.Fence < c.fence {
+			continue
+		}
+		n := len(l.givers)
+		l.givers = slices.DeleteFunc(l.givers, func(g giver) bool { return g.life == c.life })
+		if len(l.givers) < n {
+			l.handover = handover
+			m.settled(now, l)
+			m.tell()
+		}
+	}
+}
+
+// judge decides from the result of an order whether the upstream is down.
+func (m *Machine) judge(now time.Time, life oriole.Life, h *holder, err error) {
+	switch {
+	case err == nil, errors.Is(err, oriole.ErrFenced):
+		h.failures, h.refused, h.down = 0, 0, false
+		return
+	case errors.Is(err, oriole.ErrUnreachable):
+		h.refused++
+	}
+	h.failures++
+	if h.refused >= downAfter && !h.ended {
+		h.ended = true
+		m.note("ended", Note{Server: life.ID, Detail: err.Error()})
+	}
+	if h.failures >= downAfter {
+		if !h.down {
+			m.note("down", Note{Server: life.ID, Detail: err.Error()})
+		}
+		h.down = true
+		h.downUntil = now.Add(downFor)
+	}
+}
--- /dev/null
+++ b/pkg/oriole/orioleassign/plan.go
@@ -0,0 +1,86 @@
+package orioleassign
+
+import (
+	"time"
+
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+)
+
+// targets returns the upstreams that may own ranges. For the first assignment
+// every usable one may; later, those that own ranges and answer, and those
+// that a probe has reached.
+func (m *Machine) targets(now time.Time, first bool) []target {
+	var targets []target
+	for _, u := range m.world.UsableOf(m.cfg.Service) {
+		h := m.holder(u.Life())
+		reached := first || m.owns(u.Life()) || now.Sub(h.probed) < probedFor
+		if !reached || h.down || h.ended {
+			continue
+		}
+		capacity := 1.0
+		if u.ColdUntil.After(now) {
+			capacity = coldCapacity
+		}
+		targets = append(targets, target{life: u.Life(), capacity: capacity})
+	}
+	return targets
+}
+
+// plan writes the next table if owners are lost or load is uneven.
+func (m *Machine) plan(now time.Time) {
+	if m.writing != nil || m.writeDue.After(now) || !m.exact || !m.entitled(now) || !m.world.Listed {
+		return
+	}
+	s := newSpreader(m.stored.Ranges, m.targets(now, false), &m.load)
+	s.rescue()
+	s.refence(m.leases)
+	if !m.planDue.After(now) {
+		m.load.Age(now)
+		m.planDue = now.Add(planWait)
+		s.balance()
+	}
+	if !s.changed && !m.dirty {
+		return
+	}
+	next := m.stored.Clone()
+	if s.changed {
+		s.merge()
+		next.Ranges = s.ranges
+		next.Fence++
+		for i := range next.Ranges {
+			if next.Ranges[i].Fence == 0 {
+				next.Ranges[i].Fence = next.Fence
+			}
+		}
+	}
+	next.Prior = m.unsettled()
+	m.seq++
+	next.Seq = m.seq
+	m.dirty = false
+	m.write(now, next)
+}
+
+// unsettled returns the earlier leaders that may still renew leases.
+func (m *Machine) unsettled() []oriole.GatewayID {
+	var prior []oriole.GatewayID
+	for _, g := range m.stored.Prior {
+		if m.prior[g] {
+			prior = append(prior, g)
+		}
+	}
+	return prior
+}
+
+// refence gives a new fence to ranges whose upstream has seen a higher one.
+func (s *spreader) refence(leases []lease) {
+	for i := range s.ranges {
+		r := &s.ranges[i]
+		for j := range leases {
+			l := &leases[j]
+			if l.fenced && l.First == r.First && l.Last == r.Last && l.Fence == r.Fence && r.Ready() {
+				r.Fence = 0
+				s.changed = true
+			}
+		}
+	}
+}
--- a/pkg/oriole/request.go
+++ b/pkg/oriole/request.go
@@ -45,12 +45,15 @@
 	ReasonCancelled
 	ReasonTooLarge
 	ReasonDrain
+	ReasonNoOwner
+	ReasonBudget
 	reasonCount
 )
 
 var reasonNames = [...]string{
 	"none", "queue-full", "deadline", "not-keeper", "shed", "fenced",
 	"connection", "bad-answer", "crash", "cancelled", "too-large", "drain",
+	"no-owner", "budget",
 }
 
 // String returns the reason as callers see it in a header.
@@ -82,6 +85,21 @@
 	// Relayed says that the gateway it came from was not its entry, so that it
 	// must not be sent on again.
 	Relayed bool
+
+	// The fields below serve routed requests.
+
+	// Host is what the caller asked for.
+	Host string
+	// Point is the place on the key ring of a divided service; Divided says
+	// whether there is one.
+	Point   Point
+	Divided bool
+	// Pool is the set of upstreams that may run the request.
+	Pool PoolID
+	// Priority ranks kinds of requests; 0 goes first.
+	Priority int
+	// Objective is when the answer has lost most of its worth.
+	Objective time.Time
 }
 
 // Answer is the result of a Request.
@@ -93,6 +111,11 @@
 	Body    []byte
 	// Server is the upstream that was asked last, or empty.
 	Server ServerID
+	// RetryAfter tells a caller whose request has not run when it may come
+	// back; 0 if nothing is known.
+	RetryAfter time.Duration
+	// Wait is how long the next request to the same pool is expected to wait.
+	Wait time.Duration
 }
 
 // Refuse returns the answer for a request that has not run.
