Tell changes only, and let one gateway watch the directory for all

When the store drops its history a waiting watch hears nothing for up to six seconds.

Change: one gateway watches with waits of 0.8 s and passes on what changes; the others watch only when they don't hear of it. Leaders tell patches.

--- a/internal/oriolemessage/convert.go
+++ b/internal/oriolemessage/convert.go
@@ -171,11 +171,7 @@
 		t.Prior = append(t.Prior, string(g))
 	}
 	for _, r := range a.Ranges {
-		next := Range{First: int(r.First), Last: int(r.Last), Owner: fromLife(r.Owner), Fence: uint64(r.Fence), Givers: []Life{}}
-		for _, g := range r.Givers {
-			next.Givers = append(next.Givers, fromLife(g))
-		}
-		t.Ranges = append(t.Ranges, next)
+		t.Ranges = append(t.Ranges, fromRange(r))
 	}
 	return t
 }
@@ -194,15 +190,9 @@
 		a.Prior = append(a.Prior, oriole.GatewayID(g))
 	}
 	for _, r := range t.Ranges {
-		if r.First < 0 || r.Last < r.First || r.Last > int(oriole.LastPoint) {
-			return a, errors.Wrap(ErrMalformed, "range of a table")
-		}
-		next := oriole.Range{
-			First: oriole.Point(r.First), Last: oriole.Point(r.Last),
-			Owner: toLife(r.Owner), Fence: oriole.Fence(r.Fence),
-		}
-		for _, g := range r.Givers {
-			next.Givers = append(next.Givers, toLife(g))
+		next, err := r.toRange()
+		if err != nil {
+			return a, err
 		}
 		a.Ranges = append(a.Ranges, next)
 	}
@@ -212,6 +202,28 @@
 	return a, nil
 }
 
+func fromRange(r oriole.Range) Range {
+	next := Range{First: int(r.First), Last: int(r.Last), Owner: fromLife(r.Owner), Fence: uint64(r.Fence), Givers: []Life{}}
+	for _, g := range r.Givers {
+		next.Givers = append(next.Givers, fromLife(g))
+	}
+	return next
+}
+
+func (r Range) toRange() (next oriole.Range, err error) {
+	if r.First < 0 || r.Last < r.First || r.Last > int(oriole.LastPoint) {
+		return next, errors.Wrap(ErrMalformed, "range")
+	}
+	next = oriole.Range{
+		First: oriole.Point(r.First), Last: oriole.Point(r.Last),
+		Owner: toLife(r.Owner), Fence: oriole.Fence(r.Fence),
+	}
+	for _, g := range r.Givers {
+		next.Givers = append(next.Givers, toLife(g))
+	}
+	return next, nil
+}
+
 func fromLife(l oriole.Life) Life { return Life{Id: string(l.ID), Born: l.Born.UnixMilli()} }
 
 func toLife(l Life) oriole.Life {
--- a/internal/oriolemessage/message_gen.go
+++ b/internal/oriolemessage/message_gen.go
@@ -77,6 +77,64 @@
 	Number uint64 `json:"number"`
 }
 
+// Config is one version of the operators' configuration.
+type Config struct {
+	// Body is the largest body in bytes.
+	Body int64 `json:"body"`
+
+	// Header is the largest header in bytes.
+	Header int `json:"header"`
+
+	// Idle is the longest idle time in microseconds.
+	Idle int64 `json:"idle"`
+
+	// Routes corresponds to the JSON schema field "routes".
+	Routes []Route `json:"routes"`
+
+	// Services corresponds to the JSON schema field "services".
+	Services []Service `json:"services"`
+
+	// Slow is the longest time to send a header in microseconds.
+	Slow int64 `json:"slow"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version uint64 `json:"version"`
+}
+
+// Entry is one entry of a feed. It has gone if none of its parts is set and it is
+// not a zone.
+type Entry struct {
+	// Config corresponds to the JSON schema field "config".
+	Config *Config `json:"config,omitempty"`
+
+	// Gone corresponds to the JSON schema field "gone".
+	Gone bool `json:"gone"`
+
+	// Name corresponds to the JSON schema field "name".
+	Name string `json:"name"`
+
+	// Upstream corresponds to the JSON schema field "upstream".
+	Upstream *Upstream `json:"upstream,omitempty"`
+}
+
+// Feed passes on what has changed in the platform's directory.
+type Feed struct {
+	// At is the version at which they stood.
+	At uint64 `json:"at"`
+
+	// Entries corresponds to the JSON schema field "entries".
+	Entries []Entry `json:"entries"`
+
+	// Kind is configs, upstreams or zones.
+	Kind string `json:"kind"`
+
+	// Prev is the version after which these are the changes.
+	Prev uint64 `json:"prev"`
+
+	// Reset says that these are all entries there are.
+	Reset bool `json:"reset"`
+}
+
 // Field is one line of a header.
 type Field struct {
 	// Name corresponds to the JSON schema field "name".
@@ -97,12 +155,18 @@
 	// Cancel corresponds to the JSON schema field "cancel".
 	Cancel *Cancel `json:"cancel,omitempty"`
 
+	// Feed corresponds to the JSON schema field "feed".
+	Feed *Feed `json:"feed,omitempty"`
+
 	// Hello corresponds to the JSON schema field "hello".
 	Hello *Hello `json:"hello,omitempty"`
 
 	// Load corresponds to the JSON schema field "load".
 	Load *Load `json:"load,omitempty"`
 
+	// Patch corresponds to the JSON schema field "patch".
+	Patch *Patch `json:"patch,omitempty"`
+
 	// Pulse corresponds to the JSON schema field "pulse".
 	Pulse *Pulse `json:"pulse,omitempty"`
 
@@ -111,6 +175,9 @@
 
 	// Table corresponds to the JSON schema field "table".
 	Table *Table `json:"table,omitempty"`
+
+	// Want corresponds to the JSON schema field "want".
+	Want *Want `json:"want,omitempty"`
 }
 
 // Gateway is a gateway's entry in the platform's store.
@@ -161,6 +228,27 @@
 	Service string `json:"service"`
 }
 
+// Patch is what has changed of an assignment since another Seq of its term.
+type Patch struct {
+	// Base is the Seq that the patch changes.
+	Base uint64 `json:"base"`
+
+	// Fence corresponds to the JSON schema field "fence".
+	Fence uint64 `json:"fence"`
+
+	// Ranges corresponds to the JSON schema field "ranges".
+	Ranges []Range `json:"ranges"`
+
+	// Seq corresponds to the JSON schema field "seq".
+	Seq uint64 `json:"seq"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Term corresponds to the JSON schema field "term".
+	Term uint64 `json:"term"`
+}
+
 // Pulse tells that the sender lives.
 type Pulse struct {
 	// Leaving corresponds to the JSON schema field "leaving".
@@ -235,6 +323,68 @@
 	Term uint64 `json:"term"`
 }
 
+// Route says what happens to the requests of a host and prefix. Times are in
+// microseconds.
+type Route struct {
+	// Attempts corresponds to the JSON schema field "attempts".
+	Attempts int `json:"attempts"`
+
+	// Host corresponds to the JSON schema field "host".
+	Host string `json:"host"`
+
+	// Idempotent corresponds to the JSON schema field "idempotent".
+	Idempotent bool `json:"idempotent"`
+
+	// Name corresponds to the JSON schema field "name".
+	Name string `json:"name"`
+
+	// Objective corresponds to the JSON schema field "objective".
+	Objective int64 `json:"objective"`
+
+	// Prefix corresponds to the JSON schema field "prefix".
+	Prefix string `json:"prefix"`
+
+	// Priority corresponds to the JSON schema field "priority".
+	Priority int `json:"priority"`
+
+	// Shares corresponds to the JSON schema field "shares".
+	Shares []Share `json:"shares"`
+
+	// Timeout corresponds to the JSON schema field "timeout".
+	Timeout int64 `json:"timeout"`
+}
+
+// Service describes upstreams that serve the same requests. Times are in
+// microseconds.
+type Service struct {
+	// Cold corresponds to the JSON schema field "cold".
+	Cold int64 `json:"cold"`
+
+	// Conns corresponds to the JSON schema field "conns".
+	Conns int `json:"conns"`
+
+	// Divided corresponds to the JSON schema field "divided".
+	Divided bool `json:"divided"`
+
+	// Name corresponds to the JSON schema field "name".
+	Name string `json:"name"`
+
+	// Rate corresponds to the JSON schema field "rate".
+	Rate float64 `json:"rate"`
+
+	// Warm corresponds to the JSON schema field "warm".
+	Warm int64 `json:"warm"`
+}
+
+// Share is a service's part of a route.
+type Share struct {
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Weight corresponds to the JSON schema field "weight".
+	Weight int `json:"weight"`
+}
+
 // Table is the assignment of a divided service, as it is stored and told.
 type Table struct {
 	// Fence corresponds to the JSON schema field "fence".
@@ -258,3 +408,33 @@
 	// Term corresponds to the JSON schema field "term".
 	Term uint64 `json:"term"`
 }
+
+// Upstream describes a server.
+type Upstream struct {
+	// Addr corresponds to the JSON schema field "addr".
+	Addr string `json:"addr"`
+
+	// Born is in milliseconds since 1970.
+	Born int64 `json:"born"`
+
+	// Cold is the time in microseconds for which it bears little load.
+	Cold int64 `json:"cold"`
+
+	// Draining corresponds to the JSON schema field "draining".
+	Draining bool `json:"draining"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Slots corresponds to the JSON schema field "slots".
+	Slots int `json:"slots"`
+
+	// Zone corresponds to the JSON schema field "zone".
+	Zone string `json:"zone"`
+}
+
+// Want asks the leader of a service for the whole assignment.
+type Want struct {
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+}
--- a/internal/oriolerouter/oriolehub/follow.go
+++ b/internal/oriolerouter/oriolehub/follow.go
@@ -6,73 +6,178 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolekeeper"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolering"
 )
 
 const (
-	// watchSpan is how long one watch waits. Each costs a call, and a
-	// connection that went silent is found by its own probes.
-	watchSpan = 25 * time.Second
+	// longWatch is how long a watch waits that nothing hangs on: each costs a
+	// call.
+	longWatch = 25 * time.Second
+	// shortWatch bounds how long a watch may go without news of changes: the
+	// store may miss telling a watch that is waiting, and a change has to be
+	// in force within two seconds.
+	shortWatch = 800 * time.Millisecond
+	// feedPatience is how long a gateway relies on the one that watches for
+	// all; then it watches itself.
+	feedPatience = 1200 * time.Millisecond
 	// watchPause lets changes that come together be fetched together.
-	watchPause = 200 * time.Millisecond
-	// failedPause is the pause after a call that failed; it doubles up to
+	watchPause = 150 * time.Millisecond
+	// failedPause is the pause after a call that failed. It doubles up to
 	// failedPauseMost, well within the seconds that changes have to be in
 	// force.
 	failedPause     = 250 * time.Millisecond
 	failedPauseMost = time.Second
+	// feedRing bounds the news of the watching gateway that wait. What is
+	// dropped is fetched.
+	feedRing = 64
 )
 
-// followDuty follows one feed of the directory.
+// watchers names the duty of watching the directory for all gateways, to rank
+// them for it.
+const watchers = "directory"
+
+// followDuty follows one feed of the directory. One gateway watches it for
+// all and passes on what changes; the others watch only while they don't hear
+// of it.
 type followDuty[T any] struct {
 	hub  *Hub
-	name string
+	kind string
 	feed oriole.Feed[T]
 	// news returns what changes tell. A reset replaces all that was known.
 	news func(reset bool, changes []oriole.Change[T]) news
+	// fed receives what the watching gateway passes on, as set and value
+	// translate it. It is nil for a feed that all watch.
+	fed   *oriolering.Ring[*oriolemessage.Feed]
+	set   func(*oriolemessage.Entry, T)
+	value func(oriolemessage.Entry) (T, error)
+
+	at      oriole.Version
+	listed  bool
+	failing bool
+	pause   time.Duration
 }
 
-func (d *followDuty[T]) String() string { return "follow " + d.name }
+func (d *followDuty[T]) String() string { return "follow " + d.kind }
 
 // Serve implements suture.Service.
 func (d *followDuty[T]) Serve(ctx context.Context) error {
-	var at oriole.Version
-	listed, failing := false, false
-	pause := failedPause
+	d.listed, d.pause = false, failedPause
 	for ctx.Err() == nil {
-		var changes []oriole.Change[T]
-		var err error
-		reset := !listed
-		if reset {
-			changes, at, err = d.feed.List(ctx)
-		} else {
-			changes, at, err = d.feed.Watch(ctx, at, watchSpan)
-		}
 		switch {
-		case errors.Is(err, oriole.ErrHistoryGone):
-			listed = false
-			continue
-		case err != nil:
-			if !failing {
-				failing = true
-				d.hub.cfg.Log.WithError(err).WithField("feed", d.name).Warn("directory lost")
-			}
-			d.hub.put(ctx, troubleNews{})
-			sleep(ctx, pause)
-			pause = min(2*pause, failedPauseMost)
-			continue
+		case !d.listed:
+			d.list(ctx)
+		case d.fed == nil:
+			d.watch(ctx, longWatch)
+		case d.hub.watches():
+			d.watch(ctx, shortWatch)
+		default:
+			d.listen(ctx)
 		}
-		if failing {
-			failing = false
-			d.hub.cfg.Log.WithField("feed", d.name).Info("directory regained")
+	}
+	return ctx.Err()
+}
+
+func (d *followDuty[T]) list(ctx context.Context) {
+	changes, at, err := d.feed.List(ctx)
+	if d.failed(ctx, err) {
+		return
+	}
+	d.listed = true
+	d.take(ctx, true, changes, at)
+}
+
+func (d *followDuty[T]) watch(ctx context.Context, wait time.Duration) {
+	changes, at, err := d.feed.Watch(ctx, d.at, wait)
+	if errors.Is(err, oriole.ErrHistoryGone) {
+		d.listed = false
+		return
+	}
+	if d.failed(ctx, err) {
+		return
+	}
+	d.take(ctx, false, changes, at)
+	if len(changes) > 0 {
+		sleep(ctx, watchPause)
+	}
+}
+
+// take makes changes known, here and to the others if this gateway watches
+// for them.
+func (d *followDuty[T]) take(ctx context.Context, reset bool, changes []oriole.Change[T], at oriole.Version) {
+	if reset || len(changes) > 0 {
+		d.hub.put(ctx, d.news(reset, changes))
+	}
+	if d.fed != nil && d.hub.watches() {
+		d.hub.cfg.Feed(&oriolemessage.Feed{
+			Kind: d.kind, Reset: reset, Prev: uint64(d.at), At: uint64(at),
+			Entries: oriolemessage.FromChanges(changes, d.set),
+		})
+	}
+	d.at = at
+}
+
+// listen waits for what the watching gateway passes on, and watches itself if
+// there is nothing.
+func (d *followDuty[T]) listen(ctx context.Context) {
+	timer := time.NewTimer(feedPatience)
+	defer timer.Stop()
+	select {
+	case feed := <-d.fed.Out():
+		d.heard(ctx, feed)
+	case <-timer.C:
+		d.watch(ctx, shortWatch)
+	case <-ctx.Done():
+	}
+}
+
+func (d *followDuty[T]) heard(ctx context.Context, feed *oriolemessage.Feed) {
+	at := oriole.Version(feed.At)
+	if at <= d.at {
+		return
+	}
+	changes, err := oriolemessage.ToChanges(feed.Entries, d.value)
+	switch {
+	case err != nil:
+		d.hub.cfg.Log.WithError(err).WithField("feed", d.kind).Warn("feed not taken")
+		d.watch(ctx, shortWatch)
+	case !feed.Reset && oriole.Version(feed.Prev) > d.at:
+		// Something in between was missed.
+		d.watch(ctx, shortWatch)
+	default:
+		if feed.Reset || len(changes) > 0 {
+			d.hub.put(ctx, d.news(feed.Reset, changes))
 		}
-		pause = failedPause
-		listed = true
-		if reset || len(changes) > 0 {
-			d.hub.put(ctx, d.news(reset, changes))
-			sleep(ctx, watchPause)
+		d.at = at
+	}
+}
+
+// failed waits after a call that failed, and reports whether it did.
+func (d *followDuty[T]) failed(ctx context.Context, err error) bool {
+	logger := d.hub.cfg.Log.WithField("feed", d.kind)
+	if err == nil {
+		if d.failing {
+			logger.Info("directory regained")
 		}
+		d.failing, d.pause = false, failedPause
+		return false
 	}
-	return ctx.Err()
+	if !d.failing {
+		logger.WithError(err).Warn("directory lost")
+	}
+	d.failing = true
+	d.hub.put(ctx, troubleNews{})
+	sleep(ctx, d.pause)
+	d.pause = min(2*d.pause, failedPauseMost)
+	return true
+}
+
+// watches reports whether this gateway watches the directory for all.
+func (h *Hub) watches() bool {
+	ranked := oriolekeeper.Leaders(watchers, h.World().Members())
+	return len(ranked) == 0 || ranked[0] == h.cfg.Self.ID
 }
 
 func (h *Hub) put(ctx context.Context, n news) {
--- a/internal/oriolerouter/oriolehub/hub.go
+++ b/internal/oriolerouter/oriolehub/hub.go
@@ -12,6 +12,7 @@
 	"github.com/apex/log"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolering"
 )
@@ -37,6 +38,10 @@
 	Directory oriole.Directory
 	Timers    oriole.Timers
 	Log       log.Interface
+	// Feed passes on to all peers what has changed in the directory.
+	Feed func(*oriolemessage.Feed)
+	// Want asks the leader of a service for its whole assignment.
+	Want func(oriole.ServiceName, oriole.GatewayID)
 }
 
 // Hub is the subtree. It implements suture.Service.
@@ -44,7 +49,9 @@
 	*suture.Supervisor
 	cfg  Config
 	news *oriolering.Ring[news]
-	now  atomic.Pointer[moment]
+	// fed holds the rings of what the watching gateway passes on, by kind.
+	fed map[string]*oriolering.Ring[*oriolemessage.Feed]
+	now atomic.Pointer[moment]
 
 	mu          sync.Mutex
 	subscribers []chan struct{}
@@ -81,16 +88,29 @@
 		Supervisor: suture.New("hub", spec),
 		cfg:        cfg,
 		news:       oriolering.New[news](ringSize),
+		fed:        make(map[string]*oriolering.Ring[*oriolemessage.Feed]),
 	}
 	world := oriole.NewWorld()
 	world.Gateways[cfg.Self.ID] = cfg.Self
 	world.Alive[cfg.Self.ID] = true
 	h.now.Store(&moment{world: world, next: make(chan struct{})})
 	h.Add(&believeDuty{h})
-	h.Add(&followDuty[*oriole.Config]{hub: h, name: "configurations", feed: cfg.Directory.Configs(), news: configNews})
-	h.Add(&followDuty[oriole.Upstream]{hub: h, name: "upstreams", feed: cfg.Directory.Upstreams(), news: upstreamNews})
-	h.Add(&followDuty[oriole.ZoneName]{hub: h, name: "zones out", feed: cfg.Directory.Outs(), news: outNews})
-	h.Add(&followDuty[oriole.Member]{hub: h, name: "gateways", feed: cfg.Directory.Gateways(), news: gatewayNews})
+	for _, kind := range []string{oriolemessage.KindConfigs, oriolemessage.KindUpstreams, oriolemessage.KindZones} {
+		h.fed[kind] = oriolering.New[*oriolemessage.Feed](feedRing)
+	}
+	h.Add(&followDuty[*oriole.Config]{
+		hub: h, kind: oriolemessage.KindConfigs, feed: cfg.Directory.Configs(), news: configNews,
+		fed: h.fed[oriolemessage.KindConfigs], set: (*oriolemessage.Entry).SetConfig, value: oriolemessage.Entry.ToConfig,
+	})
+	h.Add(&followDuty[oriole.Upstream]{
+		hub: h, kind: oriolemessage.KindUpstreams, feed: cfg.Directory.Upstreams(), news: upstreamNews,
+		fed: h.fed[oriolemessage.KindUpstreams], set: (*oriolemessage.Entry).SetUpstream, value: oriolemessage.Entry.ToUpstream,
+	})
+	h.Add(&followDuty[oriole.ZoneName]{
+		hub: h, kind: oriolemessage.KindZones, feed: cfg.Directory.Outs(), news: outNews,
+		fed: h.fed[oriolemessage.KindZones], set: (*oriolemessage.Entry).SetZone, value: oriolemessage.Entry.ToZone,
+	})
+	h.Add(&followDuty[oriole.Member]{hub: h, kind: "gateways", feed: cfg.Directory.Gateways(), news: gatewayNews})
 	return h
 }
 
@@ -120,6 +140,19 @@
 	_ = h.news.Put(ctx, assignmentNews{a})
 }
 
+// Patched takes a change of an assignment from its leader.
+func (h *Hub) Patched(ctx context.Context, from oriole.GatewayID, p oriole.AssignmentPatch) {
+	_ = h.news.Put(ctx, patchNews{from, p})
+}
+
+// Fed takes what the watching gateway passes on. What finds the ring full is
+// fetched from the directory.
+func (h *Hub) Fed(feed *oriolemessage.Feed) {
+	if ring := h.fed[feed.Kind]; ring != nil {
+		ring.Offer(feed)
+	}
+}
+
 // Heard takes which gateways were heard of lately.
 func (h *Hub) Heard(ctx context.Context, alive map[oriole.GatewayID]bool) {
 	_ = h.news.Put(ctx, aliveNews{alive})
--- a/internal/oriolerouter/oriolehub/news.go
+++ b/internal/oriolerouter/oriolehub/news.go
@@ -192,6 +192,26 @@
 	}
 }
 
+type patchNews struct {
+	from  oriole.GatewayID
+	patch oriole.AssignmentPatch
+}
+
+// apply takes the change if it fits what is known, and asks for the whole
+// assignment otherwise.
+func (n patchNews) apply(w *oriole.World, t *tidings) {
+	old := w.Assignments[n.patch.Service]
+	if old != nil && (old.Term > n.patch.Term || (old.Term == n.patch.Term && old.Seq >= n.patch.Seq)) {
+		return
+	}
+	next, fits := old.Patched(n.patch)
+	if !fits {
+		t.cfg.Want(n.patch.Service, n.from)
+		return
+	}
+	w.Assignments[n.patch.Service] = &next
+}
+
 type troubleNews struct{}
 
 func (troubleNews) apply(_ *oriole.World, t *tidings) { t.trouble = t.now }
--- a/internal/oriolerouter/oriolelead/lead.go
+++ b/internal/oriolerouter/oriolelead/lead.go
@@ -49,8 +49,9 @@
 	Log     log.Interface
 	// Times of leases; Self and Service are set for each service.
 	Times orioleassign.Config
-	// Tell tells peers of an assignment that this gateway leads.
-	Tell func(a oriole.Assignment)
+	// Tell tells peers of an assignment that this gateway leads, and what it
+	// told of the service last, or nil.
+	Tell func(last *oriole.Assignment, a oriole.Assignment)
 }
 
 // Lead is the subtree. It implements suture.Service.
@@ -102,11 +103,6 @@
 	return l
 }
 
-// Told takes an assignment from a peer.
-func (l *Lead) Told(ctx context.Context, a oriole.Assignment) {
-	l.put(ctx, event{a.Service, func(now time.Time, m *orioleassign.Machine) { m.Told(now, a) }})
-}
-
 // Heard takes a peer's word that it renews no lease of the service below the
 // term.
 func (l *Lead) Heard(ctx context.Context, peer oriole.GatewayID, service oriole.ServiceName, term uint64) {
@@ -148,6 +144,8 @@
 type decideDuty struct {
 	lead     *Lead
 	machines map[oriole.ServiceName]*orioleassign.Machine
+	// told holds what peers were told last.
+	told map[oriole.ServiceName]*oriole.Assignment
 }
 
 func (d *decideDuty) String() string { return "decide" }
@@ -158,6 +156,7 @@
 func (d *decideDuty) Serve(ctx context.Context) error {
 	l := d.lead
 	d.machines = make(map[oriole.ServiceName]*orioleassign.Machine)
+	d.told = make(map[oriole.ServiceName]*oriole.Assignment)
 	changed := l.cfg.Hub.Subscribe()
 	ticks, stop := l.cfg.Timers.Subscribe(tickInterval)
 	defer stop()
@@ -214,7 +213,8 @@
 			_ = l.orders.Put(ctx, orderCall{service, effect})
 		case effect.Tell != nil:
 			l.cfg.Hub.Told(ctx, *effect.Tell)
-			l.cfg.Tell(*effect.Tell)
+			l.cfg.Tell(d.told[service], *effect.Tell)
+			d.told[service] = effect.Tell
 		case effect.Note != nil:
 			l.log(service, effect.Note)
 		}
--- a/internal/oriolerouter/receiver.go
+++ b/internal/oriolerouter/receiver.go
@@ -45,7 +45,19 @@
 			return
 		}
 		r.hub.Told(ctx, a)
-		r.lead.Told(ctx, a)
+	case frame.Patch != nil:
+		patch, err := frame.Patch.ToPatch()
+		if err != nil {
+			r.metrics.Add("link_frames_refused", 1)
+			return
+		}
+		r.hub.Patched(ctx, from, patch)
+	case frame.Want != nil:
+		if a := r.hub.World().Assignments[oriole.ServiceName(frame.Want.Service)]; a != nil {
+			r.links.Send(from, &oriolemessage.Frame{Table: oriolemessage.FromAssignment(*a)})
+		}
+	case frame.Feed != nil:
+		r.hub.Fed(frame.Feed)
 	case frame.Load != nil:
 		counts := make(map[int]int, len(frame.Load.Buckets))
 		for _, b := range frame.Load.Buckets {
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -115,7 +115,9 @@
 func (r *Router) build(listeners []net.Listener) {
 	spec := suture.Spec{EventHook: r.failed}
 	r.Supervisor = suture.New("gateway", spec)
-	r.hub = oriolehub.New(oriolehub.Config{Self: r.self, Directory: r.platform.Directory, Timers: r.timers, Log: r.log}, spec)
+	r.hub = oriolehub.New(oriolehub.Config{
+		Self: r.self, Directory: r.platform.Directory, Timers: r.timers, Log: r.log, Feed: r.feed, Want: r.want,
+	}, spec)
 	r.links = oriolelink.New(oriolelink.Config{Self: r.self, Metrics: r.metrics, Timers: r.timers}, spec)
 	r.links.SetReceiver(receiver{r})
 	r.keeper = oriolekeep.New(oriolekeep.Config{
@@ -183,8 +185,21 @@
 	_, _ = w.Write([]byte(expvar.Var(r.metrics).String()))
 }
 
-// tell tells peers of an assignment that this gateway leads.
-func (r *Router) tell(a oriole.Assignment) {
+// feed passes on to all peers what has changed in the directory.
+func (r *Router) feed(f *oriolemessage.Feed) { r.links.Broadcast(&oriolemessage.Frame{Feed: f}) }
+
+// want asks the leader of a service for its whole assignment.
+func (r *Router) want(service oriole.ServiceName, leader oriole.GatewayID) {
+	r.links.Send(leader, &oriolemessage.Frame{Want: &oriolemessage.Want{Service: string(service)}})
+}
+
+// tell tells peers of an assignment that this gateway leads: what has changed
+// since it last did, if it has led the term before.
+func (r *Router) tell(last *oriole.Assignment, a oriole.Assignment) {
+	if last != nil && last.Term == a.Term {
+		r.links.Broadcast(&oriolemessage.Frame{Patch: oriolemessage.FromPatch(last.Diff(&a))})
+		return
+	}
 	r.links.Broadcast(&oriolemessage.Frame{Table: oriolemessage.FromAssignment(a)})
 }
 
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -181,6 +181,9 @@
 		m.planDue = now
 	}
 	m.world = w
+	if a := w.Assignments[m.cfg.Service]; a != nil {
+		m.told(*a)
+	}
 	m.settlePrior(now, nil)
 	m.Tick(now)
 }
@@ -195,12 +198,11 @@
 	m.stepDown("leaving")
 }
 
-// Told takes an assignment from the gateway that leads it.
-func (m *Machine) Told(now time.Time, a oriole.Assignment) {
-	if m.known && !a.Newer(&m.stored) {
-		return
+// told takes an assignment as its leader tells of it.
+func (m *Machine) told(a oriole.Assignment) {
+	if !m.known || a.Newer(&m.stored) {
+		m.learn(a, 0, false)
 	}
-	m.learn(a, 0, false)
 }
 
 // learn replaces what is known of the assignment.
--- /dev/null
+++ b/pkg/oriole/patch.go
@@ -0,0 +1,81 @@
+package oriole
+
+import (
+	"slices"
+)
+
+// AssignmentPatch is what has changed of an assignment between two Seqs of one
+// term. Its ranges replace whatever covered their points.
+type AssignmentPatch struct {
+	Service ServiceName
+	Term    uint64
+	Base    uint64
+	Seq     uint64
+	Fence   Fence
+	Ranges  []Range
+}
+
+// Diff returns the patch that makes next of a. Both must be of one service and
+// term.
+func (a *Assignment) Diff(next *Assignment) AssignmentPatch {
+	patch := AssignmentPatch{Service: next.Service, Term: next.Term, Base: a.Seq, Seq: next.Seq, Fence: next.Fence}
+	for _, r := range next.Ranges {
+		same := slices.ContainsFunc(a.Ranges, func(old Range) bool { return old.equal(r) })
+		if !same {
+			patch.Ranges = append(patch.Ranges, r)
+		}
+	}
+	return patch
+}
+
+func (r Range) equal(other Range) bool {
+	return r.First == other.First && r.Last == other.Last && r.Owner == other.Owner && r.Fence == other.Fence &&
+		slices.Equal(r.Givers, other.Givers)
+}
+
+// Patched returns the assignment with the patch applied, and whether the patch
+// fits it.
+func (a *Assignment) Patched(p AssignmentPatch) (next Assignment, fits bool) {
+	if a == nil || a.Term != p.Term || a.Seq != p.Base {
+		return next, false
+	}
+	next = a.Clone()
+	next.Seq, next.Fence = p.Seq, p.Fence
+	for _, r := range p.Ranges {
+		next.Ranges = overlay(next.Ranges, r)
+	}
+	return next, next.Whole()
+}
+
+// overlay puts a range over others, of which those that it covers in part are
+// cut.
+func overlay(ranges []Range, over Range) []Range {
+	var result []Range
+	placed := false
+	for _, r := range ranges {
+		if r.Last < over.First || over.Last < r.First {
+			if !placed && r.First > over.Last {
+				result, placed = append(result, over), true
+			}
+			result = append(result, r)
+			continue
+		}
+		if r.First < over.First {
+			head := r
+			head.Last = over.First - 1
+			result = append(result, head)
+		}
+		if !placed {
+			result, placed = append(result, over), true
+		}
+		if r.Last > over.Last {
+			tail := r
+			tail.First = over.Last + 1
+			result = append(result, tail)
+		}
+	}
+	if !placed {
+		result = append(result, over)
+	}
+	return result
+}
