Finish what peers asked for before a gateway ends

A keeper that got SIGTERM waited for its own callers only; a request that a peer had asked it to run was cut.

Change: it also waits for the requests that it took from peers, and answers those that their callers cancelled, so that none is counted for ever.

--- a/internal/oriolerouter/oriolekeep/keep.go
+++ b/internal/oriolerouter/oriolekeep/keep.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
+	"github.com/pkg/errors"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolegateway/oriolesight"
@@ -53,6 +55,8 @@
 	cfg    Config
 	events *oriolering.Ring[event]
 	starts *oriolering.Ring[start]
+	// open counts the requests that were taken and not answered.
+	open atomic.Int64
 }
 
 // event is an input of the keeping duty. Exactly one field is set.
@@ -100,9 +104,13 @@
 
 // Do runs the request on the pool that it names. The reply is called once.
 func (k *Keeper) Do(ctx context.Context, r oriole.Request, reply func(oriole.Answer)) {
-	a := &arrival{ctx: ctx, request: r, reply: reply}
+	k.open.Add(1)
+	a := &arrival{ctx: ctx, request: r, reply: func(a oriole.Answer) {
+		k.open.Add(-1)
+		reply(a)
+	}}
 	if !k.events.Offer(event{arrival: a}) {
-		reply(oriole.Refuse(oriole.ReasonQueueFull))
+		a.reply(oriole.Refuse(oriole.ReasonQueueFull))
 		return
 	}
 	context.AfterFunc(ctx, func() {
@@ -111,6 +119,20 @@
 	})
 }
 
+// Finish waits until every request that was taken is answered.
+func (k *Keeper) Finish(ctx context.Context) error {
+	ticks, stop := k.cfg.Timers.Subscribe(tickInterval)
+	defer stop()
+	for k.open.Load() > 0 {
+		select {
+		case <-ticks:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d requests not finished", k.open.Load())
+		}
+	}
+	return nil
+}
+
 // sendDuty sends one request at a time.
 type sendDuty struct{ keeper *Keeper }
 
@@ -183,8 +205,10 @@
 		d.arrive(ctx, now, e.arrival)
 	case e.cancel != nil:
 		if p := d.pools[e.cancel.pool]; p != nil && p.jobs[e.cancel.job] == e.cancel {
-			p.pool.Cancel(e.cancel.job)
-			d.carryOut(ctx, e.cancel.pool, p)
+			if p.pool.Cancel(e.cancel.job) {
+				delete(p.jobs, e.cancel.job)
+				e.cancel.reply(oriole.Refuse(oriole.ReasonCancelled))
+			}
 		}
 	case e.result != nil:
 		if p := d.pools[e.result.pool]; p != nil {
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -251,7 +251,11 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return r.callers.Shutdown(ctx)
+	if err := r.callers.Shutdown(ctx); err != nil {
+		return err
+	}
+	// What peers have asked for runs to its end.
+	return r.keeper.Finish(ctx)
 }
 
 // member returns the gateway as its peers should see it.
--- a/pkg/oriole/oriolepool/pool.go
+++ b/pkg/oriole/oriolepool/pool.go
@@ -187,10 +187,12 @@
 	p.dispatch(now)
 }
 
-// Cancel drops a job that waits. One that runs goes on; its sender ends it if
-// that does no harm.
-func (p *Pool) Cancel(id JobID) {
+// Cancel drops a job that waits, and reports whether it did. One that runs goes
+// on; its sender ends it if that does no harm.
+func (p *Pool) Cancel(id JobID) bool {
+	n := len(p.line)
 	p.line = slices.DeleteFunc(p.line, func(j *job) bool { return j.id == id })
+	return len(p.line) < n
 }
 
 // Tick refuses what can't be served in time any more and starts what waited
