Place ranges by the measured speed of their servers

Change: keepers tell the leader how long requests run at each upstream; use is load over capacity; a slow and a fast mean of the load, in runs of 4 keys.

--- a/internal/oriolemessage/message_gen.go
+++ b/internal/oriolemessage/message_gen.go
@@ -219,13 +219,17 @@
 	Id string `json:"id"`
 }
 
-// Load tells the leader how many requests came for each bucket of keys.
+// Load tells the leader how many requests came for each bucket of keys, and how
+// long requests run at upstreams.
 type Load struct {
 	// Buckets corresponds to the JSON schema field "buckets".
 	Buckets []Bucket `json:"buckets"`
 
 	// Service corresponds to the JSON schema field "service".
 	Service string `json:"service"`
+
+	// Spans corresponds to the JSON schema field "spans".
+	Spans []Span `json:"spans"`
 }
 
 // Patch is what has changed of an assignment since another Seq of its term.
@@ -385,6 +389,15 @@
 	Weight int `json:"weight"`
 }
 
+// Span tells how long requests run at an upstream, in microseconds.
+type Span struct {
+	// Server corresponds to the JSON schema field "server".
+	Server string `json:"server"`
+
+	// Span corresponds to the JSON schema field "span".
+	Span int64 `json:"span"`
+}
+
 // Table is the assignment of a divided service, as it is stored and told.
 type Table struct {
 	// Fence corresponds to the JSON schema field "fence".
--- a/internal/oriolemessage/patch.go
+++ b/internal/oriolemessage/patch.go
@@ -1,6 +1,8 @@
 package oriolemessage
 
 import (
+	"time"
+
 	"github.com/pkg/errors"
 
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
@@ -40,3 +42,29 @@
 	}
 	return patch, nil
 }
+
+// FromLoad returns the message that tells of requests by bucket of keys, and of
+// run times by upstream.
+func FromLoad(service oriole.ServiceName, counts map[int]int, spans map[oriole.ServerID]time.Duration) *Load {
+	l := &Load{Service: string(service), Buckets: make([]Bucket, 0, len(counts)), Spans: make([]Span, 0, len(spans))}
+	for bucket, n := range counts {
+		l.Buckets = append(l.Buckets, Bucket{Index: bucket, Count: n})
+	}
+	for id, span := range spans {
+		l.Spans = append(l.Spans, Span{Server: string(id), Span: span.Microseconds()})
+	}
+	return l
+}
+
+// ToLoad returns what the message tells.
+func (l *Load) ToLoad() (counts map[int]int, spans map[oriole.ServerID]time.Duration) {
+	counts = make(map[int]int, len(l.Buckets))
+	for _, b := range l.Buckets {
+		counts[b.Index] += b.Count
+	}
+	spans = make(map[oriole.ServerID]time.Duration, len(l.Spans))
+	for _, s := range l.Spans {
+		spans[oriole.ServerID(s.Server)] = micros(s.Span)
+	}
+	return counts, spans
+}
--- a/internal/oriolerouter/oriolekeep/keep.go
+++ b/internal/oriolerouter/oriolekeep/keep.go
@@ -28,6 +28,8 @@
 	// tickInterval is how often the lines are looked through for requests
 	// that can't be served in time any more.
 	tickInterval = 25 * time.Millisecond
+	// spanInterval is how often leaders learn how long requests run.
+	spanInterval = 2 * time.Second
 	// poolIdle is how long a pool is kept in which nothing happens.
 	poolIdle = 20 * time.Second
 )
@@ -45,6 +47,9 @@
 	Timers  oriole.Timers
 	Metrics *oriolesight.Metrics
 	Log     log.Interface
+	// Spans is told now and then how long requests run at upstreams of a
+	// divided service.
+	Spans func(service oriole.ServiceName, spans map[oriole.ServerID]time.Duration)
 	// Forget is told which lives of upstreams are still of use.
 	Forget func(keep func(oriole.Life) bool)
 }
@@ -185,8 +190,12 @@
 	changed := k.cfg.Worlds.Subscribe()
 	ticks, stop := k.cfg.Timers.Subscribe(tickInterval)
 	defer stop()
+	spans, stopSpans := k.cfg.Timers.Subscribe(spanInterval)
+	defer stopSpans()
 	for {
 		select {
+		case <-spans:
+			d.tellSpans()
 		case e := <-k.events.Out():
 			d.take(ctx, k.cfg.Timers.Now(), e)
 		case <-changed:
@@ -278,6 +287,25 @@
 	}
 }
 
+// tellSpans tells how long requests run at the upstreams of divided services.
+func (d *keepDuty) tellSpans() {
+	byService := make(map[oriole.ServiceName]map[oriole.ServerID]time.Duration)
+	for id, p := range d.pools {
+		if id.Server == "" {
+			continue
+		}
+		p.pool.Spans(func(server oriole.ServerID, span time.Duration) {
+			if byService[id.Service] == nil {
+				byService[id.Service] = make(map[oriole.ServerID]time.Duration)
+			}
+			byService[id.Service][server] = span
+		})
+	}
+	for service, spans := range byService {
+		d.keeper.cfg.Spans(service, spans)
+	}
+}
+
 // carryOut does what the pool wants done.
 func (d *keepDuty) carryOut(ctx context.Context, id oriole.PoolID, p *kept) {
 	for _, effect := range p.pool.Take() {
--- a/internal/oriolerouter/oriolelead/lead.go
+++ b/internal/oriolerouter/oriolelead/lead.go
@@ -109,12 +109,16 @@
 	l.put(ctx, event{service, func(now time.Time, m *orioleassign.Machine) { m.Heard(now, peer, term) }})
 }
 
-// Loaded takes how many requests came for buckets of the service's keys.
-func (l *Lead) Loaded(ctx context.Context, service oriole.ServiceName, counts map[int]int) {
+// Loaded takes how many requests came for buckets of the service's keys, and
+// how long requests run at upstreams.
+func (l *Lead) Loaded(ctx context.Context, service oriole.ServiceName, counts map[int]int, spans map[oriole.ServerID]time.Duration) {
 	l.put(ctx, event{service, func(_ time.Time, m *orioleassign.Machine) {
 		for bucket, n := range counts {
 			m.AddLoad(bucket, float64(n))
 		}
+		for id, span := range spans {
+			m.AddSpan(id, span)
+		}
 	}})
 }
 
--- a/internal/oriolerouter/receiver.go
+++ b/internal/oriolerouter/receiver.go
@@ -59,11 +59,8 @@
 	case frame.Feed != nil:
 		r.hub.Fed(frame.Feed)
 	case frame.Load != nil:
-		counts := make(map[int]int, len(frame.Load.Buckets))
-		for _, b := range frame.Load.Buckets {
-			counts[b.Index] += b.Count
-		}
-		r.lead.Loaded(ctx, oriole.ServiceName(frame.Load.Service), counts)
+		counts, spans := frame.Load.ToLoad()
+		r.lead.Loaded(ctx, oriole.ServiceName(frame.Load.Service), counts, spans)
 	}
 }
 
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -122,6 +122,9 @@
 	r.links.SetReceiver(receiver{r})
 	r.keeper = oriolekeep.New(oriolekeep.Config{
 		Worlds: r.hub, Sender: r.platform.Sender, Timers: r.timers, Metrics: r.metrics, Log: r.log, Forget: r.platform.Forget,
+		Spans: func(service oriole.ServiceName, spans map[oriole.ServerID]time.Duration) {
+			r.tellLoad(service, nil, spans)
+		},
 	}, spec)
 	r.lead = oriolelead.New(oriolelead.Config{
 		Self: r.self.ID, Hub: r.hub, Store: r.platform.Directory, Leaser: r.platform.Leaser,
@@ -131,7 +134,8 @@
 		},
 	}, spec)
 	r.entry = oriolecaller.NewEntry(oriolecaller.EntryConfig{
-		Self: r.self, Hub: r.hub, Keeper: r.keeper, Peers: r.links, Clock: r.timers, Metrics: r.metrics, Loads: r.tellLoad,
+		Self: r.self, Hub: r.hub, Keeper: r.keeper, Peers: r.links, Clock: r.timers, Metrics: r.metrics,
+		Loads: func(service oriole.ServiceName, counts map[int]int) { r.tellLoad(service, counts, nil) },
 	})
 	handler := oriolecaller.NewHandler(r.entry, r.platform.Dialect)
 	r.callers = oriolecaller.NewServer("serve callers", listeners[0], handler, r.idleTimeout)
@@ -203,21 +207,18 @@
 	r.links.Broadcast(&oriolemessage.Frame{Table: oriolemessage.FromAssignment(a)})
 }
 
-// tellLoad tells the leader of a service of the load of its keys.
-func (r *Router) tellLoad(service oriole.ServiceName, counts map[int]int) {
+// tellLoad tells the leader of a service of the load of its keys, and how long
+// requests run at upstreams.
+func (r *Router) tellLoad(service oriole.ServiceName, counts map[int]int, spans map[oriole.ServerID]time.Duration) {
 	a := r.hub.World().Assignments[service]
 	if a == nil {
 		return
 	}
 	if a.Leader == r.self.ID {
-		r.lead.Loaded(context.Background(), service, counts)
+		r.lead.Loaded(context.Background(), service, counts, spans)
 		return
 	}
-	load := &oriolemessage.Load{Service: string(service), Buckets: make([]oriolemessage.Bucket, 0, len(counts))}
-	for bucket, n := range counts {
-		load.Buckets = append(load.Buckets, oriolemessage.Bucket{Index: bucket, Count: n})
-	}
-	r.links.Send(a.Leader, &oriolemessage.Frame{Load: load})
+	r.links.Send(a.Leader, &oriolemessage.Frame{Load: oriolemessage.FromLoad(service, counts, spans)})
 }
 
 const (
--- a/pkg/oriole/orioleassign/load.go
+++ b/pkg/oriole/orioleassign/load.go
@@ -7,36 +7,41 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 )
 
-// Ranges are cut at multiples of bucketPoints, so that a table stays small
-// while a few hot keys that lie together can still be told apart.
+// Ranges are cut at multiples of bucketPoints, so that a few dozen hot keys that
+// lie together can be shared among servers.
 const (
-	bucketPoints = 16
+	bucketPoints = 4
 	buckets      = (int(oriole.LastPoint) + 1) / bucketPoints
 )
 
 // BucketOf returns the index that load reports use for the point.
 func BucketOf(p oriole.Point) int { return int(p) / bucketPoints }
 
-// idleShare is the part of the load that is taken to lie evenly on all keys,
-// so that keys without recent requests still count for something.
-const idleShare = 0.1
-
-// loadHalfLife is how fast old load is forgotten. It is short against the time
-// that a hot key stays hot, and long against the gaps between its requests.
-const loadHalfLife = 1500 * time.Millisecond
+const (
+	// fastHalfLife is how fast the fast mean forgets: a hot key is seen within
+	// a second or two. The slow mean holds the usual load of keys that get a
+	// request every few seconds.
+	fastHalfLife = time.Second
+	slowHalfLife = 6 * time.Second
+	// idleShare is the part of the load that is taken to lie evenly on all
+	// keys, so that keys without recent requests still count for something.
+	idleShare = 0.1
+	// idleRate is the least load of all keys, in requests a second, so that
+	// ranges have a weight before the first request.
+	idleRate = 1
+)
 
 // Load is the recent load of each part of the key ring.
 type Load struct {
-	recent [buckets]float64
-	total  float64
-	at     time.Time
+	fast, slow [buckets]float64
+	at         time.Time
 }
 
 // Add counts requests of a bucket; an index that can't be right is ignored.
 func (l *Load) Add(bucket int, requests float64) {
 	if bucket >= 0 && bucket < buckets && requests > 0 {
-		l.recent[bucket] += requests
-		l.total += requests
+		l.fast[bucket] += requests
+		l.slow[bucket] += requests
 	}
 }
 
@@ -45,28 +50,77 @@
 	if l.at.IsZero() {
 		l.at = now
 	}
-	keep := math.Exp2(-float64(now.Sub(l.at)) / float64(loadHalfLife))
+	passed := float64(now.Sub(l.at))
+	keepFast := math.Exp2(-passed / float64(fastHalfLife))
+	keepSlow := math.Exp2(-passed / float64(slowHalfLife))
 	l.at = now
-	l.total = 0
-	for i := range l.recent {
-		l.recent[i] *= keep
-		l.total += l.recent[i]
+	for i := range l.fast {
+		l.fast[i] *= keepFast
+		l.slow[i] *= keepSlow
 	}
 }
 
-// bucket returns the load of a bucket, idle keys included.
-func (l *Load) bucket(i int) float64 {
-	return l.recent[i] + (l.total*idleShare+1)/float64(buckets)
+// rate returns the requests a second of a bucket: the slow mean, or the fast
+// one if it is higher by more than its chance error.
+func (l *Load) rate(i int) float64 {
+	fast := (l.fast[i] - math.Sqrt(l.fast[i])) * math.Ln2 / fastHalfLife.Seconds()
+	slow := l.slow[i] * math.Ln2 / slowHalfLife.Seconds()
+	return max(fast, slow)
+}
+
+// profile is the load of the key ring at one time.
+type profile struct {
+	// before holds for each bucket the load of all that come before it.
+	before [buckets + 1]float64
+}
+
+func (l *Load) profile() *profile {
+	total := 0.0
+	for i := range l.fast {
+		total += l.rate(i)
+	}
+	idle := max(total*idleShare, idleRate) / float64(buckets)
+	p := new(profile)
+	for i := range l.fast {
+		p.before[i+1] = p.before[i] + l.rate(i) + idle
+	}
+	return p
+}
+
+// of returns the load of a run of points; buckets at its ends count in part.
+func (p *profile) of(first, last oriole.Point) float64 {
+	return p.upTo(int(last)+1) - p.upTo(int(first))
+}
+
+// upTo returns the load of the points before the one given.
+func (p *profile) upTo(point int) float64 {
+	i, part := point/bucketPoints, float64(point%bucketPoints)/bucketPoints
+	if i >= buckets {
+		return p.before[buckets]
+	}
+	return p.before[i] + part*(p.before[i+1]-p.before[i])
+}
+
+// after returns the last point of the shortest run of buckets from first that
+// carries the load, or last.
+func (p *profile) after(first, last oriole.Point, load float64) oriole.Point {
+	from := p.upTo(int(first))
+	for i := BucketOf(first) + 1; i <= BucketOf(last); i++ {
+		if p.before[i]-from >= load {
+			return oriole.Point(i*bucketPoints - 1)
+		}
+	}
+	return last
 }
 
-// of returns the load of a run of points; the buckets at its ends count in
-// part.
-func (l *Load) of(first, last oriole.Point) float64 {
-	sum := 0.0
-	for i := BucketOf(first); i <= BucketOf(last); i++ {
-		from := max(int(first), i*bucketPoints)
-		to := min(int(last), (i+1)*bucketPoints-1)
-		sum += l.bucket(i) * float64(to-from+1) / bucketPoints
+// ahead returns the first point of the shortest run of buckets up to last that
+// carries the load, or first.
+func (p *profile) ahead(first, last oriole.Point, load float64) oriole.Point {
+	to := p.upTo(int(last) + 1)
+	for i := BucketOf(last); i > BucketOf(first); i-- {
+		if to-p.before[i] >= load {
+			return oriole.Point(i * bucketPoints)
+		}
 	}
-	return sum
+	return first
 }
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -58,9 +58,17 @@
 	probedFor = 10 * time.Second
 )
 
-// coldCapacity is what a cold upstream bears against a warm one: its stated
-// rate is about a quarter of what two slots serve.
-const coldCapacity = 0.25
+const (
+	// usualSpan is the run time that is expected of an upstream that nothing
+	// was told of.
+	usualSpan = 100 * time.Millisecond
+	// usualColdRate is what a cold upstream bears, in requests a second, of a
+	// service that does not state it.
+	usualColdRate = 5
+	// coldCapacity is the part of its stated rate that a cold upstream is
+	// given: what goes beyond the rate waits.
+	coldCapacity = 0.7
+)
 
 // Machine is one gateway's part in the assignment of one service.
 type Machine struct {
@@ -118,6 +126,8 @@
 	probed    time.Time
 	// ended says that this life is over for certain.
 	ended bool
+	// span is how long requests run there, or 0.
+	span time.Duration
 }
 
 // call is an order that has not been answered.
--- a/pkg/oriole/orioleassign/plan.go
+++ b/pkg/oriole/orioleassign/plan.go
@@ -17,21 +17,48 @@
 		if !reached || h.down || h.ended {
 			continue
 		}
-		capacity := 1.0
-		if u.ColdUntil.After(now) {
-			capacity = coldCapacity
-		}
-		targets = append(targets, target{life: u.Life(), capacity: capacity})
+		targets = append(targets, target{life: u.Life(), capacity: m.capacity(now, u)})
 	}
 	return targets
 }
 
+// capacity returns the requests a second that the upstream can serve.
+func (m *Machine) capacity(now time.Time, u oriole.Upstream) float64 {
+	span := m.holder(u.Life()).span
+	if span <= 0 {
+		span = usualSpan
+	}
+	capacity := float64(u.Slots) / span.Seconds()
+	if u.ColdUntil.After(now) {
+		capacity = min(capacity, m.coldRate()) * coldCapacity
+	}
+	return capacity
+}
+
+// coldRate returns the requests a second that a cold upstream of the service
+// bears.
+func (m *Machine) coldRate() float64 {
+	if m.world.Config != nil {
+		if rate := m.world.Config.Services[m.cfg.Service].ColdRate; rate > 0 {
+			return rate
+		}
+	}
+	return usualColdRate
+}
+
+// AddSpan takes how long requests run at an upstream.
+func (m *Machine) AddSpan(id oriole.ServerID, span time.Duration) {
+	if u, found := m.world.Upstreams[id]; found && span > 0 {
+		m.holder(u.Life()).span = span
+	}
+}
+
 // plan writes the next table if owners are lost or load is uneven.
 func (m *Machine) plan(now time.Time) {
 	if m.writing != nil || m.writeDue.After(now) || !m.exact || !m.entitled(now) || !m.world.Listed {
 		return
 	}
-	s := newSpreader(m.stored.Ranges, m.targets(now, false), &m.load)
+	s := newSpreader(m.stored.Ranges, m.targets(now, false), m.load.profile())
 	s.rescue()
 	s.refence(m.leases)
 	if !m.planDue.After(now) {
--- a/pkg/oriole/orioleassign/spread.go
+++ b/pkg/oriole/orioleassign/spread.go
@@ -10,19 +10,24 @@
 // target is an upstream that may own ranges.
 type target struct {
 	life oriole.Life
-	// capacity is the part of the load that it can bear, against the others.
+	// capacity is the requests a second that it can serve, and load those
+	// that its ranges get.
 	capacity float64
 	load     float64
 }
 
-func (t *target) ratio() float64 { return t.load / t.capacity }
+// use returns the part of the capacity that the load takes.
+func (t *target) use() float64 { return t.load / t.capacity }
 
 // Limits of balancing.
 const (
-	// tolerance is how far above the mean the busiest target may be before
+	// tolerance is how far above the mean use the busiest target may be before
 	// ranges leave it. A queue at two thirds of its capacity feels a quarter
 	// more load, and less is within the noise of short counts.
 	tolerance = 0.25
+	// quietUse is the use below which a target is left alone: two slots hardly
+	// ever make a request wait there.
+	quietUse = 0.15
 	// movesAtOnce bounds the ranges of one change, so that one round of
 	// hand-overs ends before the next is planned.
 	movesAtOnce = 6
@@ -42,12 +47,12 @@
 	targets []*target
 	byLife  map[oriole.Life]*target
 	byID    map[oriole.ServerID]*target
-	load    *Load
+	load    *profile
 	mean    float64
 	changed bool
 }
 
-func newSpreader(ranges []oriole.Range, targets []target, load *Load) *spreader {
+func newSpreader(ranges []oriole.Range, targets []target, load *profile) *spreader {
 	s := &spreader{
 		ranges: slices.Clone(ranges),
 		byLife: make(map[oriole.Life]*target),
@@ -131,7 +136,7 @@
 	piece := s.mean / orphanCuts
 	first := int(r.First)
 	for first <= int(r.Last) {
-		last := s.cutAfter(oriole.Point(first), r.Last, piece)
+		last := s.load.after(oriole.Point(first), r.Last, piece)
 		part := r
 		part.First, part.Last = oriole.Point(first), last
 		weight := s.load.of(part.First, part.Last)
@@ -149,32 +154,6 @@
 	return pieces
 }
 
-// cutAfter returns the end of the shortest run of buckets from first that
-// carries the load, or last.
-func (s *spreader) cutAfter(first, last oriole.Point, load float64) oriole.Point {
-	sum := 0.0
-	for i := BucketOf(first); i < BucketOf(last); i++ {
-		sum += s.load.bucket(i)
-		if sum >= load {
-			return oriole.Point((i+1)*bucketPoints - 1)
-		}
-	}
-	return last
-}
-
-// cutBefore returns the start of the shortest run of buckets to last that
-// carries the load, or first.
-func (s *spreader) cutBefore(first, last oriole.Point, load float64) oriole.Point {
-	sum := 0.0
-	for i := BucketOf(last); i > BucketOf(first); i-- {
-		sum += s.load.bucket(i)
-		if sum >= load {
-			return oriole.Point(i * bucketPoints)
-		}
-	}
-	return first
-}
-
 // balance moves ranges from the busiest targets to the idlest. It reports
 // whether anything changed.
 func (s *spreader) balance() bool {
@@ -190,13 +169,13 @@
 }
 
 func (s *spreader) moveOne() bool {
-	byRatio := func(a, b *target) int { return compareFloat(a.ratio(), b.ratio()) }
-	high, low := slices.MaxFunc(s.targets, byRatio), slices.MinFunc(s.targets, byRatio)
-	if high.ratio() < s.mean*(1+tolerance) && low.ratio() > s.mean*(1-2*tolerance) {
+	byUse := func(a, b *target) int { return compareFloat(a.use(), b.use()) }
+	high, low := slices.MaxFunc(s.targets, byUse), slices.MinFunc(s.targets, byUse)
+	if high.use() < max(s.mean*(1+tolerance), quietUse) && low.load > 0 {
 		return false
 	}
 	want := min(high.load-s.mean*high.capacity, s.mean*low.capacity-low.load)
-	if want <= s.mean*leastGain*low.capacity/2 {
+	if want <= 0 {
 		return false
 	}
 	best, bestGain := oriole.Range{}, math.Inf(1)
@@ -227,8 +206,8 @@
 		return parts
 	}
 	head, tail := r, r
-	head.Last = s.cutAfter(r.First, r.Last, want)
-	tail.First = s.cutBefore(r.First, r.Last, want)
+	head.Last = s.load.after(r.First, r.Last, want)
+	tail.First = s.load.ahead(r.First, r.Last, want)
 	return append(parts, head, tail)
 }
 
--- a/pkg/oriole/oriolepool/pool.go
+++ b/pkg/oriole/oriolepool/pool.go
@@ -80,6 +80,18 @@
 // Waiting returns the number of requests in line.
 func (p *Pool) Waiting() int { return len(p.line) }
 
+// knownRuns is how many run times a mean is told from.
+const knownRuns = 8
+
+// Spans tells how long requests run at each upstream, once it is known.
+func (p *Pool) Spans(tell func(oriole.ServerID, time.Duration)) {
+	for _, s := range p.servers {
+		if s.runs >= knownRuns {
+			tell(s.upstream.ID, s.speed)
+		}
+	}
+}
+
 // Update takes the upstreams that the pool may send to now. One that started
 // anew is another upstream.
 func (p *Pool) Update(now time.Time, service oriole.Service, upstreams []oriole.Upstream) {
--- a/pkg/oriole/oriolepool/server.go
+++ b/pkg/oriole/oriolepool/server.go
@@ -12,6 +12,9 @@
 	// spanWeight is the weight of a new run time in the mean: a few requests
 	// on each slot tell that an upstream has turned slow.
 	spanWeight = 0.15
+	// speedWeight is the weight of a new run time in the mean that placing
+	// goes by: longer than the moments for which a neighbour slows a VM.
+	speedWeight = 0.05
 	// coldBurst is how many requests a cold upstream may get beyond its rate.
 	// Its bound is half more than the rate and five a second.
 	coldBurst = 3
@@ -32,6 +35,9 @@
 	running  int
 	// span is the mean run time.
 	span time.Duration
+	// speed is a slower mean of it, and runs the number that it is of.
+	speed time.Duration
+	runs  int
 	// suspectUntil and pausedUntil limit an upstream that failed.
 	suspectUntil time.Time
 	pausedUntil  time.Time
@@ -84,6 +90,9 @@
 	switch {
 	case a.Outcome == oriole.OutcomeAnswered:
 		s.span += time.Duration(spanWeight * float64(took-s.span))
+		s.runs++
+		weight := max(speedWeight, 1/float64(s.runs))
+		s.speed += time.Duration(weight * float64(took-s.speed))
 	case a.Reason == oriole.ReasonDeadline && took > s.span:
 		// It ran at least that long.
 		s.span += time.Duration(spanWeight * float64(took-s.span))
