Balance by what one more request costs, and give back requests whose keys moved

Change: targets are in balance when one more request a second would cost the same anywhere; waiting requests whose keys have another owner are given back and routed anew, outside the resend budget. Loads are planned every 0.4 s.

--- a/internal/oriolerouter/oriolecaller/entry.go
+++ b/internal/oriolerouter/oriolecaller/entry.go
@@ -99,7 +99,7 @@
 			return settle(a, mayHaveRun)
 		}
 		e.cfg.Metrics.Add("entry_again_"+a.Reason.String(), 1)
-		if a.Outcome == oriole.OutcomeNotRun {
+		if a.Outcome == oriole.OutcomeNotRun && a.Reason != oriole.ReasonMoved {
 			e.await(ctx, againPause)
 		}
 	}
@@ -134,7 +134,7 @@
 	switch a.Reason {
 	case oriole.ReasonFenced, oriole.ReasonShed, oriole.ReasonConnection:
 		return sent < notRunTries && e.budget.spend(r.Service)
-	case oriole.ReasonNotKeeper, oriole.ReasonNoOwner:
+	case oriole.ReasonNotKeeper, oriole.ReasonNoOwner, oriole.ReasonMoved:
 		return sent < notRunTries
 	}
 	return false
--- a/internal/oriolerouter/oriolekeep/keep.go
+++ b/internal/oriolerouter/oriolekeep/keep.go
@@ -251,6 +251,7 @@
 func (d *keepDuty) update(ctx context.Context, now time.Time) {
 	for id, p := range d.pools {
 		d.updatePool(now, id, p)
+		d.evict(id, p)
 		d.carryOut(ctx, id, p)
 	}
 	world := d.keeper.cfg.Worlds.World()
@@ -260,6 +261,18 @@
 	})
 }
 
+// evict gives back the waiting requests whose keys have another owner now.
+func (d *keepDuty) evict(id oriole.PoolID, p *kept) {
+	a := d.keeper.cfg.Worlds.World().Assignments[id.Service]
+	if id.Server == "" || a == nil {
+		return
+	}
+	p.pool.Evict(func(r oriole.Request) bool {
+		owned := a.Find(r.Point)
+		return owned == nil || owned.Owner.ID != id.Server || !owned.Ready()
+	})
+}
+
 func (d *keepDuty) updatePool(now time.Time, id oriole.PoolID, p *kept) {
 	world := d.keeper.cfg.Worlds.World()
 	var service oriole.Service
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -46,7 +46,7 @@
 	readWait = time.Second
 	// planWait is the pause between plans that move load, so that the load of
 	// the last is seen before the next.
-	planWait = time.Second
+	planWait = 400 * time.Millisecond
 	// pollWait is the interval at which those who do not lead read the
 	// assignment; what the leader tells arrives sooner.
 	pollWait = 5 * time.Second
--- a/pkg/oriole/orioleassign/plan.go
+++ b/pkg/oriole/orioleassign/plan.go
@@ -17,22 +17,22 @@
 		if !reached || h.down || h.ended {
 			continue
 		}
-		targets = append(targets, target{life: u.Life(), capacity: m.capacity(now, u)})
+		targets = append(targets, m.target(now, u))
 	}
 	return targets
 }
 
-// capacity returns the requests a second that the upstream can serve.
-func (m *Machine) capacity(now time.Time, u oriole.Upstream) float64 {
+// target returns what the upstream can serve.
+func (m *Machine) target(now time.Time, u oriole.Upstream) target {
 	span := m.holder(u.Life()).span
 	if span <= 0 {
 		span = usualSpan
 	}
-	capacity := float64(u.Slots) / span.Seconds()
+	t := target{life: u.Life(), span: span, capacity: float64(u.Slots) / span.Seconds()}
 	if u.ColdUntil.After(now) {
-		capacity = min(capacity, m.coldRate()) * coldCapacity
+		t.capacity = min(t.capacity, m.coldRate()*coldCapacity)
 	}
-	return capacity
+	return t
 }
 
 // coldRate returns the requests a second that a cold upstream of the service
--- a/pkg/oriole/orioleassign/spread.go
+++ b/pkg/oriole/orioleassign/spread.go
@@ -1,8 +1,10 @@
 package orioleassign
 
 import (
+	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 )
@@ -10,24 +12,40 @@
 // target is an upstream that may own ranges.
 type target struct {
 	life oriole.Life
-	// capacity is the requests a second that it can serve, and load those
-	// that its ranges get.
+	// capacity is the requests a second that it can serve, span how long one
+	// runs, and load the requests a second that its ranges get.
 	capacity float64
+	span     time.Duration
 	load     float64
 }
 
-// use returns the part of the capacity that the load takes.
-func (t *target) use() float64 { return t.load / t.capacity }
+// fullUse is the use above which a queue counts as growing without end.
+const fullUse = 0.95
+
+// cost returns by how much the time that all requests take grows with one more
+// request a second, if the target's load were the one given. Targets of equal
+// cost are in balance: fast ones take more than their part of a light load, and
+// all are used alike under a heavy one.
+func (t *target) cost(load float64) float64 {
+	use := load / t.capacity
+	over := max(use-fullUse, 0)
+	squared := min(use, fullUse) * min(use, fullUse)
+	// The wait of a queue with two servers, and what one more adds to it.
+	growth := (1+squared)/((1-squared)*(1-squared)) + over*overGrowth
+	return t.span.Seconds() * growth
+}
+
+// overGrowth is how steeply the cost grows beyond fullUse.
+const overGrowth = 1000
 
 // Limits of balancing.
 const (
-	// tolerance is how far above the mean use the busiest target may be before
-	// ranges leave it. A queue at two thirds of its capacity feels a quarter
-	// more load, and less is within the noise of short counts.
-	tolerance = 0.25
-	// quietUse is the use below which a target is left alone: two slots hardly
-	// ever make a request wait there.
-	quietUse = 0.15
+	// tolerance is how far the costs of two targets may differ before ranges
+	// move between them: less is within the noise of short counts.
+	tolerance = 0.3
+	// leastLoad is the load, in requests a second, below which a target gets
+	// some, however slow it is: what is never used is never known.
+	leastLoad = 0.7
 	// movesAtOnce bounds the ranges of one change, so that one round of
 	// hand-overs ends before the next is planned.
 	movesAtOnce = 6
@@ -36,6 +54,9 @@
 	// leastGain is the part of the wanted load below which a move is not
 	// worth its hand-over.
 	leastGain = 0.25
+	// mostGain is how far beyond the wanted load a move may go: a single hot
+	// key can't be cut.
+	mostGain = 1.5
 	// orphanCuts is how many pieces of the mean load an unowned range is cut
 	// into at least, so that its load spreads over several targets.
 	orphanCuts = 4
@@ -48,6 +69,7 @@
 	byLife  map[oriole.Life]*target
 	byID    map[oriole.ServerID]*target
 	load    *profile
+	// mean is the load of a target if all had the same.
 	mean    float64
 	changed bool
 }
@@ -59,24 +81,19 @@
 		byID:   make(map[oriole.ServerID]*target),
 		load:   load,
 	}
-	capacity := 0.0
 	for i := range targets {
 		t := &targets[i]
 		t.load = 0
 		s.targets = append(s.targets, t)
 		s.byLife[t.life] = t
 		s.byID[t.life.ID] = t
-		capacity += t.capacity
 	}
-	total := 0.0
 	for _, r := range s.ranges {
-		weight := load.of(r.First, r.Last)
-		total += weight
 		if t := s.byLife[r.Owner]; t != nil {
-			t.load += weight
+			t.load += load.of(r.First, r.Last)
 		}
 	}
-	s.mean = total / math.Max(capacity, math.SmallestNonzeroFloat64)
+	s.mean = load.of(0, oriole.LastPoint) / float64(max(len(targets), 1))
 	return s
 }
 
@@ -141,7 +158,7 @@
 		part.First, part.Last = oriole.Point(first), last
 		weight := s.load.of(part.First, part.Last)
 		to := slices.MinFunc(s.targets, func(a, b *target) int {
-			return compareFloat((a.load+weight)/a.capacity, (b.load+weight)/b.capacity)
+			return cmp.Compare(a.cost(a.load+weight), b.cost(b.load+weight))
 		})
 		given := s.give(part, to)
 		if n := len(pieces); n > 0 && pieces[n-1].Owner == given.Owner {
@@ -169,14 +186,14 @@
 }
 
 func (s *spreader) moveOne() bool {
-	byUse := func(a, b *target) int { return compareFloat(a.use(), b.use()) }
-	high, low := slices.MaxFunc(s.targets, byUse), slices.MinFunc(s.targets, byUse)
-	if high.use() < max(s.mean*(1+tolerance), quietUse) && low.load > 0 {
+	high := slices.MaxFunc(s.targets, func(a, b *target) int { return cmp.Compare(a.cost(a.load), b.cost(b.load)) })
+	low := slices.MinFunc(s.targets, func(a, b *target) int { return cmp.Compare(a.pull(), b.pull()) })
+	if high == low || high.load <= 2*leastLoad || high.cost(high.load) < low.pull()*(1+tolerance) {
 		return false
 	}
-	want := min(high.load-s.mean*high.capacity, s.mean*low.capacity-low.load)
-	if want <= 0 {
-		return false
+	want := even(high, low)
+	if low.load < leastLoad {
+		want = max(want, leastLoad)
 	}
 	best, bestGain := oriole.Range{}, math.Inf(1)
 	index := -1
@@ -186,7 +203,7 @@
 		}
 		for _, part := range s.parts(r, want) {
 			weight := s.load.of(part.First, part.Last)
-			if off := math.Abs(weight - want); weight >= want*leastGain && weight < want*1.6 && off < bestGain {
+			if off := math.Abs(weight - want); weight >= want*leastGain && weight < want*mostGain && off < bestGain {
 				best, bestGain, index = part, off, i
 			}
 		}
@@ -199,6 +216,32 @@
 	return true
 }
 
+// pull returns the cost of giving the target more, which is nothing for one
+// that has hardly any load.
+func (t *target) pull() float64 {
+	if t.load < leastLoad {
+		return 0
+	}
+	return t.cost(t.load)
+}
+
+// evenSteps bounds the search for an even share; each halves the error.
+const evenSteps = 12
+
+// even returns the load that makes the costs of both equal if it moves.
+func even(high, low *target) float64 {
+	least, most := 0.0, high.load
+	for range evenSteps {
+		half := (least + most) / 2
+		if high.cost(high.load-half) > low.cost(low.load+half) {
+			least = half
+		} else {
+			most = half
+		}
+	}
+	return least
+}
+
 // parts returns the parts of a range that might be moved to shift the load.
 func (s *spreader) parts(r oriole.Range, want float64) []oriole.Range {
 	parts := []oriole.Range{r}
@@ -245,13 +288,3 @@
 	}
 	s.ranges = merged
 }
-
-func compareFloat(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
--- a/pkg/oriole/oriolepool/pool.go
+++ b/pkg/oriole/oriolepool/pool.go
@@ -207,6 +207,18 @@
 	return len(p.line) < n
 }
 
+// Evict takes the waiting requests out of the line that no longer belong to the
+// pool; they may be sent to another.
+func (p *Pool) Evict(moved func(oriole.Request) bool) {
+	p.line = slices.DeleteFunc(p.line, func(j *job) bool {
+		if !moved(j.request) {
+			return false
+		}
+		p.refuse(j, oriole.ReasonMoved, 0)
+		return true
+	})
+}
+
 // Tick refuses what can't be served in time any more and starts what waited
 // for the time to pass.
 func (p *Pool) Tick(now time.Time) {
--- a/pkg/oriole/request.go
+++ b/pkg/oriole/request.go
@@ -46,14 +46,14 @@
 	ReasonTooLarge
 	ReasonDrain
 	ReasonNoOwner
-	ReasonBudget
+	ReasonMoved
 	reasonCount
 )
 
 var reasonNames = [...]string{
 	"none", "queue-full", "deadline", "not-keeper", "shed", "fenced",
 	"connection", "bad-answer", "crash", "cancelled", "too-large", "drain",
-	"no-owner", "budget",
+	"no-owner", "moved",
 }
 
 // String returns the reason as callers see it in a header.
