Bind fences to connections, name the upstream in orders, keep links in use

Orders did not name their upstream.

Change: orders name their upstream; a fence is granted on one connection only and replaced when that is gone; a new leader gives all ranges a new fence; links with gateways that are no longer listed stay until they end.

--- a/internal/oriolecli/serve.go
+++ b/internal/oriolecli/serve.go
@@ -56,11 +56,11 @@
 		logger.WithError(err).WithFields(log.Fields{"kind": kind, "name": name}).Warn("entry not read")
 	})
 	requests, closeRequests := orioleupstream.New()
-	orders, closeOrders := orioleupstream.New()
+	leaser, closeOrders := platform.NewLeaser()
 	router, closeRouter, err := oriolerouter.New(settings, oriolerouter.Platform{
 		Directory: directory,
 		Dialect:   platform.Dialect{},
-		Leaser:    platform.NewLeaser(orders),
+		Leaser:    leaser,
 		Sender:    orioleupstream.NewSender(requests, platform.Dialect{}, orioletimer.New()),
 		Forget:    requests.Forget,
 	}, logger)
--- a/internal/oriolerouter/oriolelead/lead.go
+++ b/internal/oriolerouter/oriolelead/lead.go
@@ -284,14 +284,14 @@
 		if err != nil {
 			return err
 		}
-		order, handover, err := l.send(ctx, call.effect)
+		order, result := l.send(ctx, call.effect)
 		l.put(ctx, event{call.service, func(now time.Time, m *orioleassign.Machine) {
-			m.OrderDone(now, order.Call, handover, err)
+			m.OrderDone(now, order.Call, result)
 		}})
 	}
 }
 
-func (l *Lead) send(ctx context.Context, effect orioleassign.Effect) (order *orioleassign.Order, handover string, err error) {
+func (l *Lead) send(ctx context.Context, effect orioleassign.Effect) (order *orioleassign.Order, r orioleassign.Result) {
 	lease := func(o *orioleassign.Order) oriole.LeaseOrder {
 		lease := o.Lease
 		// The gateway may have been frozen since the order was decided.
@@ -301,21 +301,21 @@
 	switch {
 	case effect.Grant != nil:
 		order = effect.Grant
-		err = l.cfg.Leaser.Grant(ctx, order.To, lease(order))
+		r.Conn, r.Err = l.cfg.Leaser.Grant(ctx, order.To, lease(order))
 		l.cfg.Metrics.Add("lead_grants", 1)
 	case effect.Release != nil:
 		order = effect.Release
-		handover, err = l.cfg.Leaser.Release(ctx, order.To, lease(order))
+		r.Handover, r.Err = l.cfg.Leaser.Release(ctx, order.To, lease(order))
 		l.cfg.Metrics.Add("lead_releases", 1)
 	default:
 		order = effect.Probe
-		err = l.cfg.Leaser.Probe(ctx, order.To)
+		r.Err = l.cfg.Leaser.Probe(ctx, order.To)
 	}
-	if err != nil {
+	if r.Err != nil {
 		l.cfg.Metrics.Add("lead_orders_failed", 1)
-		l.cfg.Log.WithError(err).WithFields(log.Fields{
+		l.cfg.Log.WithError(r.Err).WithFields(log.Fields{
 			"upstream": order.To.ID, "first": order.Lease.First, "last": order.Lease.Last, "fence": order.Lease.Fence,
 		}).Debug("order failed")
 	}
-	return order, handover, err
+	return order, r
 }
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -64,7 +64,7 @@
 	cfg     Config
 	mu      sync.Mutex
 	links   map[oriole.GatewayID]*link
-	dialled map[oriole.GatewayID]suture.ServiceToken
+	dialled map[oriole.GatewayID]*dialDuty
 	heard   map[oriole.GatewayID]time.Time
 	// unheard holds what each peer said of gateways that it does not hear.
 	unheard map[oriole.GatewayID]map[oriole.GatewayID]bool
@@ -76,7 +76,7 @@
 		Supervisor: suture.New("links", spec),
 		cfg:        cfg,
 		links:      make(map[oriole.GatewayID]*link),
-		dialled:    make(map[oriole.GatewayID]suture.ServiceToken),
+		dialled:    make(map[oriole.GatewayID]*dialDuty),
 		heard:      make(map[oriole.GatewayID]time.Time),
 		unheard:    make(map[oriole.GatewayID]map[oriole.GatewayID]bool),
 	}
@@ -87,24 +87,26 @@
 // SetReceiver sets who takes what peers send. It must be called before Serve.
 func (p *Links) SetReceiver(r Receiver) { p.cfg.Receiver = r }
 
-// SetMembers takes the gateways that are listed: a duty dials each new one.
+// SetMembers takes the gateways that are listed: a duty dials each new one. The
+// link with one that is not listed any more stays until it ends, since requests
+// may run there.
 func (p *Links) SetMembers(members map[oriole.GatewayID]oriole.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, m := range members {
 		if _, found := p.dialled[id]; !found && id != p.cfg.Self.ID {
-			p.dialled[id] = p.Add(&dialDuty{links: p, to: m})
+			duty := &dialDuty{links: p, to: m, retired: make(chan struct{})}
+			p.dialled[id] = duty
+			p.Add(duty)
 		}
 	}
-	for id, token := range p.dialled {
-		if _, listed := members[id]; listed {
-			continue
+	for id, duty := range p.dialled {
+		if _, listed := members[id]; !listed {
+			close(duty.retired)
+			delete(p.dialled, id)
+			delete(p.heard, id)
+			delete(p.unheard, id)
 		}
-		delete(p.dialled, id)
-		delete(p.heard, id)
-		delete(p.unheard, id)
-		// The duty ends by itself if it has ended already.
-		_ = p.Remove(token)
 	}
 }
 
@@ -246,6 +248,8 @@
 type dialDuty struct {
 	links *Links
 	to    oriole.Member
+	// retired is closed when the peer is not listed any more.
+	retired chan struct{}
 }
 
 func (d *dialDuty) String() string { return "dial " + string(d.to.ID) }
@@ -253,19 +257,22 @@
 // Serve implements suture.Service.
 func (d *dialDuty) Serve(ctx context.Context) error {
 	pause := dialPause
-	for ctx.Err() == nil {
+	for {
 		if d.connect(ctx) {
 			pause = dialPause
 		}
 		timer := time.NewTimer(pause)
 		select {
 		case <-timer.C:
+		case <-d.retired:
+			timer.Stop()
+			return suture.ErrDoNotRestart
 		case <-ctx.Done():
 			timer.Stop()
+			return ctx.Err()
 		}
 		pause = min(2*pause, dialPauseMost)
 	}
-	return ctx.Err()
 }
 
 // connect dials the peer and serves the link until it ends. It reports whether
--- a/internal/orioleupstream/client.go
+++ b/internal/orioleupstream/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,8 @@
 
 // Response is a whole answer of an upstream.
 type Response struct {
+	// Conn is the connection that it came on.
+	Conn   oriole.ConnID
 	Status int
 	Header http.Header
 	Body   []byte
@@ -52,8 +55,8 @@
 	// Idle tells from an answer's header how long the upstream keeps the
 	// connection, or 0.
 	Idle func(http.Header) time.Duration
-	// Fresh asks for a new connection.
-	Fresh bool
+	// Conn is the connection to use, or 0 for any.
+	Conn oriole.ConnID
 	// Ready is asked once there is a connection, just before the first byte
 	// is sent; if it is set and returns false, nothing is sent.
 	Ready func() bool
@@ -63,7 +66,7 @@
 // has left; after any other the upstream may have acted on it.
 func (c *Client) Do(ctx context.Context, call Call) (resp *Response, err error) {
 	defer func() { err = errors.Wrapf(err, "calling %s", call.To.ID) }()
-	conn, err := c.get(ctx, call.To, call.Fresh)
+	conn, err := c.get(ctx, call.To, call.Conn)
 	if err != nil {
 		return nil, err
 	}
@@ -81,6 +84,7 @@
 		}
 		return nil, err
 	}
+	resp.Conn = conn.id
 	if keep {
 		span := idleSpan
 		if call.Idle != nil {
@@ -97,7 +101,7 @@
 // Reach opens a connection to the upstream, which later calls may use, unless
 // there is one.
 func (c *Client) Reach(ctx context.Context, to oriole.Upstream) (err error) {
-	conn, err := c.get(ctx, to, false)
+	conn, err := c.get(ctx, to, 0)
 	if err != nil {
 		return err
 	}
@@ -108,9 +112,11 @@
 	return nil
 }
 
-func (c *Client) get(ctx context.Context, to oriole.Upstream, fresh bool) (*conn, error) {
-	for !fresh {
-		conn := c.take(to.Life())
+// get returns an idle connection, the one that is wanted if any is, or a new
+// one.
+func (c *Client) get(ctx context.Context, to oriole.Upstream, want oriole.ConnID) (*conn, error) {
+	for {
+		conn := c.take(to.Life(), want)
 		if conn == nil {
 			break
 		}
@@ -122,20 +128,23 @@
 		}
 		_ = conn.Close()
 	}
+	if want != 0 {
+		return nil, oriole.ErrReconnected
+	}
 	return dial(ctx, to.Addr)
 }
 
-func (c *Client) take(life oriole.Life) *conn {
+func (c *Client) take(life oriole.Life, want oriole.ConnID) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := c.idle[life]
-	if len(conns) == 0 {
-		return nil
+	for i := len(conns) - 1; i >= 0; i-- {
+		if conn := conns[i]; want == 0 || conn.id == want {
+			c.idle[life] = slices.Delete(conns, i, i+1)
+			return conn
+		}
 	}
-	last := len(conns) - 1
-	conn := conns[last]
-	c.idle[life] = conns[:last]
-	return conn
+	return nil
 }
 
 func (c *Client) put(life oriole.Life, conn *conn) {
--- a/internal/orioleupstream/conn.go
+++ b/internal/orioleupstream/conn.go
@@ -38,6 +38,7 @@
 	in   *bufio.Reader
 	out  *bufio.Writer
 	sent sentWriter
+	id   oriole.ConnID
 	// idleUntil is when the upstream may close it.
 	idleUntil time.Time
 }
@@ -65,6 +66,9 @@
 	}
 }
 
+// lastConn counts the connections of this process.
+var lastConn atomic.Uint64
+
 func dial(ctx context.Context, to netip.AddrPort) (c *conn, err error) {
 	raw, err := NewDialer().DialContext(ctx, "tcp", to.String())
 	switch {
@@ -78,7 +82,7 @@
 		_ = raw.Close()
 		return nil, errors.Wrapf(oriole.ErrNotSent, "%T is not a TCP connection", raw)
 	}
-	c = &conn{Conn: raw, tcp: tcp, in: bufio.NewReaderSize(raw, bufferSize)}
+	c = &conn{Conn: raw, tcp: tcp, id: oriole.ConnID(lastConn.Add(1)), in: bufio.NewReaderSize(raw, bufferSize)}
 	c.sent.conn = raw
 	c.out = bufio.NewWriterSize(&c.sent, bufferSize)
 	return c, nil
--- a/pkg/oriole/directory.go
+++ b/pkg/oriole/directory.go
@@ -20,6 +20,12 @@
 	ErrFenced = errors.New("the upstream has seen a higher fence")
 	// ErrNotSent is returned when no byte of a call has left.
 	ErrNotSent = errors.New("the call was not sent")
+	// ErrReplaced is returned when another upstream has the address: the life
+	// that was there has ended.
+	ErrReplaced = errors.New("another upstream has the address")
+	// ErrReconnected is returned when the connection that a call was bound to
+	// is gone.
+	ErrReconnected = errors.Wrap(ErrNotSent, "the connection is gone")
 	// ErrUnreachable is returned when nothing listens at an upstream's
 	// address: the life that was there has ended.
 	ErrUnreachable = errors.New("nothing listens at the address")
@@ -72,6 +78,10 @@
 	WriteAssignment(ctx context.Context, a Assignment, expected Version) (Version, error)
 }
 
+// ConnID names one connection to an upstream, and so one life of what is at its
+// other end; 0 names none.
+type ConnID uint64
+
 // LeaseOrder is what a leader tells an upstream of a range of keys.
 type LeaseOrder struct {
 	First    Point
@@ -79,6 +89,8 @@
 	Fence    Fence
 	Hold     time.Duration
 	Handover string
+	// Conn is the connection to send the order on, or 0 for any.
+	Conn ConnID
 	// Ready is asked just before the order is sent, and not before: if it is
 	// set and returns false, the order fails with ErrNotSent.
 	Ready func() bool
@@ -87,9 +99,11 @@
 // Leaser gives key ranges to upstreams and takes them back.
 type Leaser interface {
 	// Grant lends the range to the upstream for the order's hold, counted from
-	// the arrival there. After an error other than ErrFenced the upstream may
-	// hold it.
-	Grant(ctx context.Context, to Upstream, o LeaseOrder) error
+	// the arrival there, and returns the connection that it went on. After an
+	// error other than ErrFenced, ErrNotSent and ErrUnreachable the upstream
+	// may hold it. It fails with ErrReconnected, which is an ErrNotSent, if the
+	// order's connection is gone: another life may have the address.
+	Grant(ctx context.Context, to Upstream, o LeaseOrder) (ConnID, error)
 	// Probe reports whether the upstream can be reached.
 	Probe(ctx context.Context, to Upstream) error
 	// Release makes the upstream give the range up. It returns when work on
--- a/pkg/oriole/orioleassign/effect.go
+++ b/pkg/oriole/orioleassign/effect.go
@@ -43,6 +43,14 @@
 	Before time.Time
 }
 
+// Result is what came of an Order.
+type Result struct {
+	// Handover is that of a release, Conn the connection of a grant.
+	Handover string
+	Conn     oriole.ConnID
+	Err      error
+}
+
 // Note is a change of what the leader believes, for the log.
 type Note struct {
 	What   string
--- a/pkg/oriole/orioleassign/lease.go
+++ b/pkg/oriole/orioleassign/lease.go
@@ -16,8 +16,14 @@
 	due time.Time
 	// granted says that the owner has accepted a grant from this leader.
 	granted bool
-	// fenced says that the owner refused a grant.
-	fenced bool
+	// conn is the connection that the fence was granted on, and tried says
+	// that a grant of it may have left. Another life of the owner may answer on
+	// another connection, which must not get the same fence.
+	conn  oriole.ConnID
+	tried bool
+	// spent says that the fence is of no more use: the owner refused it, or its
+	// connection is gone.
+	spent  bool
 	givers []giver
 	// handover is what the last giver returned for the next owner.
 	handover string
@@ -52,6 +58,7 @@
 			o := &old[i]
 			if o.Fence == r.Fence && o.First <= r.First && r.Last <= o.Last {
 				l.due, l.handover = o.due, o.handover
+				l.conn, l.tried, l.spent = o.conn, o.tried, o.spent
 				break
 			}
 		}
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -471,10 +471,12 @@
 			return
 		}
 		next.Ranges = initial(targets)
-		next.Fence++
-		for i := range next.Ranges {
-			next.Ranges[i].Fence = next.Fence
-		}
+	}
+	// Owners may have started anew under their IDs, and then must not get the
+	// fences that they had.
+	next.Fence++
+	for i := range next.Ranges {
+		next.Ranges[i].Fence = next.Fence
 	}
 	if next.Leader != "" && !slices.Contains(next.Prior, next.Leader) {
 		next.Prior = append(next.Prior, next.Leader)
--- a/pkg/oriole/orioleassign/order.go
+++ b/pkg/oriole/orioleassign/order.go
@@ -143,7 +143,7 @@
 	due := make(map[oriole.Life]*lease)
 	for i := range m.leases {
 		l := &m.leases[i]
-		if !l.Ready() || l.due.After(now) || m.over(l.Owner) || m.holder(l.Owner).granting {
+		if !l.Ready() || l.spent || l.due.After(now) || m.over(l.Owner) || m.holder(l.Owner).granting {
 			continue
 		}
 		if first := due[l.Owner]; first == nil || l.due.Before(first.due) {
@@ -163,6 +163,7 @@
 		order := m.order(orderGrant, to, *l)
 		order.Lease.Hold = m.cfg.Hold
 		order.Lease.Handover = l.handover
+		order.Lease.Conn = l.conn
 		m.out = append(m.out, Effect{Grant: order})
 	}
 }
@@ -194,8 +195,8 @@
 	}
 }
 
-// OrderDone takes the result of an order. The handover is that of a release.
-func (m *Machine) OrderDone(now time.Time, id CallID, handover string, err error) {
+// OrderDone takes the result of an order.
+func (m *Machine) OrderDone(now time.Time, id CallID, r Result) {
 	c, found := m.calls[id]
 	if !found {
 		return
@@ -205,29 +206,34 @@
 	switch c.kind {
 	case orderGrant:
 		h.granting = false
-		m.granted(now, c, h, err)
+		m.granted(now, c, r)
 	case orderRelease:
 		h.releasing--
-		m.released(now, c, handover, err)
+		m.released(now, c, r)
 	case orderProbe:
 		h.probing = false
-		if err == nil {
+		if r.Err == nil {
 			h.probed, h.down = now, false
 			m.planDue = now
 		}
 	}
-	m.judge(now, c.life, h, err)
+	m.judge(now, c.life, h, r.Err)
 	m.Tick(now)
 }
 
+// sent reports whether an order may have reached the upstream.
+func sent(err error) bool {
+	return !errors.Is(err, oriole.ErrNotSent) && !errors.Is(err, oriole.ErrUnreachable)
+}
+
 // granted records what a grant's answer proves.
-func (m *Machine) granted(now time.Time, c call, h *holder, err error) {
+func (m *Machine) granted(now time.Time, c call, r Result) {
 	for i := range m.leases {
 		l := &m.leases[i]
 		if l.Last < c.first || c.last < l.First {
 			continue
 		}
-		mayHold := !errors.Is(err, oriole.ErrNotSent) && !errors.Is(err, oriole.ErrUnreachable)
+		mayHold := sent(r.Err)
 		for j := range l.givers {
 			if l.givers[j].life == c.life && mayHold {
 				l.givers[j].sent = now
@@ -242,25 +248,23 @@
 		if l.Fence != c.fence {
 			continue
 		}
-		switch {
-		case err == nil:
-			l.granted, l.fenced = true, false
+		l.tried = l.tried || mayHold
+		if r.Err == nil {
+			l.granted, l.conn = true, r.Conn
 			l.due = now.Add(m.cfg.Renew)
-		case errors.Is(err, oriole.ErrFenced):
-			l.fenced = true
-			l.due = now.Add(retryWait)
-		default:
-			l.due = now.Add(retryWait)
+			continue
 		}
+		l.due = now.Add(retryWait)
+		l.spent = l.spent || l.tried || errors.Is(r.Err, oriole.ErrFenced)
 	}
-	if errors.Is(err, oriole.ErrFenced) {
-		// Either another gateway leads, or the range needs a new fence.
+	if errors.Is(r.Err, oriole.ErrFenced) {
+		// Another gateway may lead.
 		m.read(now, false)
 	}
 }
 
 // released records what a release's answer proves.
-func (m *Machine) released(now time.Time, c call, handover string, err error) {
+func (m *Machine) released(now time.Time, c call, r Result) {
 	for i := range m.leases {
 		l := &m.leases[i]
 		if l.Last < c.first || c.last < l.First {
@@ -275,13 +279,13 @@
 			g.due = now.Add(retryWait)
 		}
 		inside := c.first <= l.First && l.Last <= c.last
-		if err != nil || !inside || l.Fence < c.fence {
+		if r.Err != nil || !inside || l.Fence < c.fence {
 			continue
 		}
 		n := len(l.givers)
 		l.givers = slices.DeleteFunc(l.givers, func(g giver) bool { return g.life == c.life })
 		if len(l.givers) < n {
-			l.handover = handover
+			l.handover = r.Handover
 			m.settled(now, l)
 			m.tell()
 		}
@@ -294,6 +298,11 @@
 	case err == nil, errors.Is(err, oriole.ErrFenced):
 		h.failures, h.refused, h.down = 0, 0, false
 		return
+	case errors.Is(err, oriole.ErrReconnected):
+		// A kept connection ended, which says little.
+		return
+	case errors.Is(err, oriole.ErrReplaced):
+		h.refused = downAfter
 	case errors.Is(err, oriole.ErrUnreachable):
 		h.refused++
 	}
--- a/pkg/oriole/orioleassign/plan.go
+++ b/pkg/oriole/orioleassign/plan.go
@@ -98,13 +98,13 @@
 	return prior
 }
 
-// refence gives a new fence to ranges whose upstream has seen a higher one.
+// refence gives a new fence to ranges whose fence is spent.
 func (s *spreader) refence(leases []lease) {
 	for i := range s.ranges {
 		r := &s.ranges[i]
 		for j := range leases {
 			l := &leases[j]
-			if l.fenced && l.First == r.First && l.Last == r.Last && l.Fence == r.Fence && r.Ready() {
+			if l.spent && l.First == r.First && l.Last == r.Last && l.Fence == r.Fence && r.Ready() {
 				r.Fence = 0
 				s.changed = true
 			}
