--- a/pkg/oriole/orioleassign/lease.go
+++ b/pkg/oriole/orioleassign/lease.go
@@ -57,6 +57,7 @@
 		for i := range old {
 			o := &old[i]
 			if o.Fence == r.Fence && o.First <= r.First && r.Last <= o.Last {
+				l.keepReleases(o)
 				l.due, l.handover = o.due, o.handover
 				l.conn, l.tried, l.spent = o.conn, o.tried, o.spent
 				break
@@ -67,6 +68,17 @@
 	return next
 }
 
+// keepReleases carries over which givers of the old lease are asked already.
+func (l *lease) keepReleases(old *lease) {
+	for i := range l.givers {
+		for _, g := range old.givers {
+			if g.life == l.givers[i].life {
+				l.givers[i].busy, l.givers[i].due = g.busy, g.due
+			}
+		}
+	}
+}
+
 // sentTo returns the latest time at which a grant of any of the range's points
 // may have reached the life, and whether it holds them all by the grant of the
 // range's fence.
@@ -81,11 +93,12 @@
 		if o.Owner != life || o.Fence != r.Fence || !o.granted {
 			granted = false
 		}
-		if o.Owner == life && o.sent.After(sent) {
+		// What was sent to one life of an upstream may have reached the next.
+		if o.Owner.ID == life.ID && o.sent.After(sent) {
 			sent = o.sent
 		}
 		for _, g := range o.givers {
-			if g.life == life && g.sent.After(sent) {
+			if g.life.ID == life.ID && g.sent.After(sent) {
 				sent = g.sent
 			}
 		}
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -276,10 +276,14 @@
 		}
 		m.exact = true
 	case !m.leading && a.Leader == m.cfg.Self && !m.leaving && !lag:
-		// The answer to the write that took the lead was lost.
+		// The answer to the write that took the lead was lost, or this gateway
+		// has stepped down meanwhile and may have sent the fences.
 		m.version, m.exact = version, true
 		m.confirmed = started
 		m.lead(now, a)
+		for i := range m.leases {
+			m.leases[i].spent = true
+		}
 	default:
 		m.learn(a, version, !lag)
 	}
@@ -435,6 +439,10 @@
 	if m.writing != nil || m.reading || !m.known || !m.world.Listed || now.Sub(m.start) < startWait {
 		return
 	}
+	if m.stored.Leader == m.cfg.Self && !m.writeDue.After(now) {
+		m.read(now, false)
+		return
+	}
 	if !m.leaderGone() {
 		m.goneSince = time.Time{}
 		return
--- a/pkg/oriole/orioleassign/order.go
+++ b/pkg/oriole/orioleassign/order.go
@@ -13,6 +13,10 @@
 // for work to end.
 const releasesAtOnce = 4
 
+// freshSpan is how recently the store must have confirmed the leader before a
+// fence is used for the first time. Most are used right after their write.
+const freshSpan = 500 * time.Millisecond
+
 // entitled reports whether the leader may still send orders.
 func (m *Machine) entitled(now time.Time) bool { return now.Before(m.confirmed.Add(m.cfg.Right)) }
 
@@ -46,13 +50,18 @@
 	return u, found
 }
 
+// successor returns the life that the directory lists in the place of an
+// earlier one.
+func (m *Machine) successor(life oriole.Life) (oriole.Life, bool) {
+	u, found := m.world.Upstreams[life.ID]
+	return u.Life(), found && u.Born.After(life.Born)
+}
+
 // over reports whether a life has certainly ended.
 func (m *Machine) over(life oriole.Life) bool {
-	if u, found := m.world.Upstreams[life.ID]; found && u.Born.After(life.Born) {
-		return true
-	}
+	_, succeeded := m.successor(life)
 	h := m.holders[life]
-	return h != nil && h.ended
+	return succeeded || (h != nil && h.ended)
 }
 
 // orderAll sends the orders that are due.
@@ -77,10 +86,16 @@
 	for i := range m.leases {
 		l := &m.leases[i]
 		n := len(l.givers)
-		l.givers = slices.DeleteFunc(l.givers, func(g giver) bool {
-			return m.over(g.life) || (now.After(m.expiry(g.sent)) && !m.flying(g.life, l.First, l.Last))
-		})
-		if len(l.givers) < n {
+		l.givers = slices.DeleteFunc(l.givers, func(g giver) bool { return m.settles(now, l, g) })
+		changed := len(l.givers) < n
+		for j := range l.givers {
+			// What was sent to an earlier life may have reached the next.
+			if next, found := m.successor(l.givers[j].life); found {
+				l.givers[j] = giver{life: next, sent: l.givers[j].sent, due: now}
+				changed = true
+			}
+		}
+		if changed {
 			m.settled(now, l)
 			settled = true
 		}
@@ -88,6 +103,19 @@
 	return settled
 }
 
+// settles reports whether the giver certainly holds nothing of the lease that
+// its owner does not hold too.
+func (m *Machine) settles(now time.Time, l *lease, g giver) bool {
+	if m.flying(g.life, l.First, l.Last) {
+		return false
+	}
+	if next, found := m.successor(g.life); found && next == l.Owner {
+		return true
+	}
+	h := m.holders[g.life]
+	return (h != nil && h.ended) || now.After(m.expiry(g.sent))
+}
+
 // settled makes the table say which givers of the lease are left.
 func (m *Machine) settled(now time.Time, l *lease) {
 	l.Givers = nil
@@ -159,6 +187,12 @@
 		if !found {
 			continue
 		}
+		if !l.tried && now.Sub(m.confirmed) > freshSpan {
+			// A fence is not first used by a leader that may be replaced: an
+			// owner that started anew would take it after a higher one.
+			m.read(now, false)
+			continue
+		}
 		m.holder(l.Owner).granting = true
 		order := m.order(orderGrant, to, *l)
 		order.Lease.Hold = m.cfg.Hold
--- a/pkg/oriole/orioleassign/plan.go
+++ b/pkg/oriole/orioleassign/plan.go
@@ -1,6 +1,7 @@
 package orioleassign
 
 import (
+	"slices"
 	"time"
 
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
@@ -58,19 +59,25 @@
 	if m.writing != nil || m.writeDue.After(now) || !m.exact || !m.entitled(now) || !m.world.Listed {
 		return
 	}
-	s := newSpreader(m.stored.Ranges, m.targets(now, false), m.load.profile())
-	s.rescue()
-	s.refence(m.leases)
-	if !m.planDue.After(now) {
+	targets := m.targets(now, false)
+	due := !m.planDue.After(now)
+	var s *spreader
+	if due || m.disordered(targets) {
 		m.load.Age(now)
+		s = newSpreader(m.stored.Ranges, targets, m.load.profile())
+		s.rescue()
+		s.refence(m.leases)
+	}
+	if due {
 		m.planDue = now.Add(planWait)
 		s.balance()
 	}
-	if !s.changed && !m.dirty {
+	changed := s != nil && s.changed
+	if !changed && !m.dirty {
 		return
 	}
 	next := m.stored.Clone()
-	if s.changed {
+	if changed {
 		s.merge()
 		next.Ranges = s.ranges
 		next.Fence++
@@ -87,6 +94,19 @@
 	m.write(now, next)
 }
 
+// disordered reports whether an owner may not serve its range, or a fence is
+// spent.
+func (m *Machine) disordered(targets []target) bool {
+	if len(targets) == 0 {
+		return false
+	}
+	lives := make(map[oriole.Life]bool, len(targets))
+	for _, t := range targets {
+		lives[t.life] = true
+	}
+	return slices.ContainsFunc(m.leases, func(l lease) bool { return l.spent || !lives[l.Owner] })
+}
+
 // unsettled returns the earlier leaders that may still renew leases.
 func (m *Machine) unsettled() []oriole.GatewayID {
 	var prior []oriole.GatewayID
--- a/pkg/oriole/orioleassign/spread.go
+++ b/pkg/oriole/orioleassign/spread.go
@@ -272,15 +272,13 @@
 	s.ranges = slices.Replace(s.ranges, i, i+1, pieces...)
 }
 
-// merge joins neighbours of one owner, which then get one grant. Where their
-// fences differ the joined range gets a new one; the owner goes on serving it.
+// merge joins neighbours of one owner, which then get one grant under a new
+// fence; the owner goes on serving them.
 func (s *spreader) merge() {
 	merged := s.ranges[:0:0]
 	for _, r := range s.ranges {
 		if n := len(merged); n > 0 && merged[n-1].Owner == r.Owner && slices.Equal(merged[n-1].Givers, r.Givers) {
-			if merged[n-1].Fence != r.Fence {
-				merged[n-1].Fence = 0
-			}
+			merged[n-1].Fence = 0
 			merged[n-1].Last = r.Last
 			continue
 		}
