Mend three more ways to two owners that random faults found

Change: the bound only grows unless the owner accepted a higher fence; releases count for their own fence; grants on their way are looked up by upstream.

--- a/pkg/oriole/orioleassign/order.go
+++ b/pkg/oriole/orioleassign/order.go
@@ -106,7 +106,7 @@
 // settles reports whether the giver certainly holds nothing of the lease that
 // its owner does not hold too.
 func (m *Machine) settles(now time.Time, l *lease, g giver) bool {
-	if m.flying(g.life, l.First, l.Last) {
+	if m.flying(g.life.ID, l.First, l.Last) {
 		return false
 	}
 	if next, found := m.successor(g.life); found && next == l.Owner {
@@ -136,11 +136,11 @@
 	m.dirty = true
 }
 
-// flying reports whether a grant of any of the points to the life is under
-// way.
-func (m *Machine) flying(life oriole.Life, first, last oriole.Point) bool {
+// flying reports whether a grant of any of the points to the upstream is under
+// way, whichever life of it was meant.
+func (m *Machine) flying(id oriole.ServerID, first, last oriole.Point) bool {
 	for _, c := range m.calls {
-		if c.kind == orderGrant && c.life == life && c.first <= last && first <= c.last {
+		if c.kind == orderGrant && c.life.ID == id && c.first <= last && first <= c.last {
 			return true
 		}
 	}
@@ -260,6 +260,13 @@
 	return !errors.Is(err, oriole.ErrNotSent) && !errors.Is(err, oriole.ErrUnreachable)
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // granted records what a grant's answer proves.
 func (m *Machine) granted(now time.Time, c call, r Result) {
 	for i := range m.leases {
@@ -269,15 +276,19 @@
 		}
 		mayHold := sent(r.Err)
 		for j := range l.givers {
-			if l.givers[j].life == c.life && mayHold {
-				l.givers[j].sent = now
+			if l.givers[j].life.ID == c.life.ID && mayHold {
+				l.givers[j].sent = later(l.givers[j].sent, now)
 			}
 		}
 		if l.Owner != c.life {
 			continue
 		}
-		if mayHold {
+		switch {
+		case r.Err == nil:
+			// The owner takes nothing from earlier leaders any more.
 			l.sent = now
+		case mayHold:
+			l.sent = later(l.sent, now)
 		}
 		if l.Fence != c.fence {
 			continue
@@ -312,8 +323,10 @@
 			g.busy = false
 			g.due = now.Add(retryWait)
 		}
-		inside := c.first <= l.First && l.Last <= c.last
-		if r.Err != nil || !inside || l.Fence < c.fence {
+		// A release under an earlier fence says nothing of what the giver was
+		// granted since.
+		inside := c.first <= l.First && l.Last <= c.last && c.fence == l.Fence
+		if r.Err != nil || !inside {
 			continue
 		}
 		n := len(l.givers)
