Close no connection as idle when a gateway leaves

Change: a leaving gateway marks answers with Connection: close, and closes nothing itself before the end.

--- a/internal/oriolerouter/oriolecaller/server.go
+++ b/internal/oriolerouter/oriolecaller/server.go
@@ -6,9 +6,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 )
 
 // headerTimeout bounds the time to read a request's header where nothing else
@@ -20,21 +23,39 @@
 	name     string
 	server   *http.Server
 	listener net.Listener
+	handler  http.Handler
+	// leaving makes connections end with their next answer, and closed says
+	// that no more are accepted.
+	leaving atomic.Bool
+	closed  atomic.Bool
+	// active counts the requests that are being answered.
+	active atomic.Int64
 }
 
 // NewServer returns a duty that serves the handler. If idle is set, it returns
 // how long a connection may stay idle, and is asked each time one turns idle.
 func NewServer(name string, listener net.Listener, handler http.Handler, idle func() time.Duration) *Server {
-	server := &http.Server{
-		Handler:           handler,
+	s := &Server{name: name, listener: listener, handler: handler}
+	s.server = &http.Server{
+		Handler:           s,
 		ReadHeaderTimeout: headerTimeout,
 		ErrorLog:          log.New(discard{}, "", 0),
 	}
 	if idle != nil {
 		timers := &idleTimers{idle: idle, timers: make(map[net.Conn]*time.Timer)}
-		server.ConnState = timers.changed
+		s.server.ConnState = timers.changed
+	}
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
 	}
-	return &Server{name: name, server: server, listener: listener}
+	s.handler.ServeHTTP(w, r)
 }
 
 // discard drops what net/http logs: callers that break off are no news.
@@ -50,21 +71,37 @@
 	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
 	defer stop()
 	err = s.server.Serve(s.listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		// Shutdown has begun; what is being answered goes on.
+	if s.closed.Load() || errors.Is(err, http.ErrServerClosed) {
+		// What is being answered goes on.
 		<-ctx.Done()
 		return ctx.Err()
 	}
 	return errors.Wrapf(err, "serving %s", s.name)
 }
 
-// CloseIdle makes connections end with their next answer.
-func (s *Server) CloseIdle() { s.server.SetKeepAlivesEnabled(false) }
+// Leave makes each connection end with its next answer. None is closed before:
+// net/http would close those that look idle while a request is being read.
+func (s *Server) Leave() { s.leaving.Store(true) }
 
-// Shutdown accepts no connections any more and waits for the requests that are
+// finishInterval is how often a server looks whether it has finished.
+const finishInterval = 20 * time.Millisecond
+
+// Finish accepts no connections any more and waits for the requests that are
 // being answered.
-func (s *Server) Shutdown(ctx context.Context) error {
-	return errors.Wrapf(s.server.Shutdown(ctx), "shutting down %s", s.name)
+func (s *Server) Finish(ctx context.Context, timers oriole.Timers) (err error) {
+	s.closed.Store(true)
+	// It fails only if the listener is closed already.
+	_ = s.listener.Close()
+	ticks, stop := timers.Subscribe(finishInterval)
+	defer stop()
+	for s.active.Load() > 0 {
+		select {
+		case <-ticks:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%s: %d requests not answered", s.name, s.active.Load())
+		}
+	}
+	return nil
 }
 
 // idleTimers closes connections that stay idle. net/http fixes the time when a
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -240,7 +240,7 @@
 	r.lead.Leave(ctx)
 	r.hub.Met(ctx, r.member())
 	r.links.PulseNow()
-	r.callers.CloseIdle()
+	r.callers.Leave()
 	if err := r.platform.Directory.Withdraw(ctx, r.self); err != nil {
 		// Peers know it from the link; the next gateway of the VM replaces the
 		// entry.
@@ -252,7 +252,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	if err := r.callers.Shutdown(ctx); err != nil {
+	if err := r.callers.Finish(ctx, r.timers); err != nil {
 		return err
 	}
 	// What peers have asked for runs to its end.
