Move a key that no server bears to the fastest, and the others off it

Change: an overloaded target that no fitting move relieves gives its hottest bucket to the target that bears most; what lies beside the hottest keys may leave alone, however little it is.

What one key asks beyond its server's slots stays refused.

--- a/pkg/oriole/orioleassign/assign_test.go
+++ b/pkg/oriole/orioleassign/assign_test.go
@@ -219,3 +219,45 @@
 		}
 	}
 }
+
+// TestHotKeyMovesToTheFastest: one key that no server bears goes to the one that
+// bears most, and the other keys leave that.
+func TestHotKeyMovesToTheFastest(t *testing.T) {
+	is := is.New(t)
+	s := settledSim(t)
+	const hot = oriole.Point(20000)
+	m := s.leader().machine
+	for i, srv := range s.servers {
+		m.AddSpan(srv.id, time.Duration(150-i*22)*time.Millisecond)
+	}
+	for range 40 {
+		m.AddLoad(BucketOf(hot), 4)
+		for i := range 5 {
+			m.AddLoad(i*buckets/5+100, 0.5)
+		}
+		s.run(100 * time.Millisecond)
+	}
+	is.Equal(s.violation, "")
+	owned := m.Table().Find(hot)
+	is.Equal(owned.Owner.ID, s.servers[4].id) // the fastest
+	is.True(owned.Size() <= 2*bucketPoints)   // and the key nearly alone
+}
+
+func TestLoadProfile(t *testing.T) {
+	is := is.New(t)
+	var l Load
+	now := time.Unix(100, 0)
+	l.Age(now)
+	l.Add(10, 100)
+	l.Add(-1, 5)
+	l.Add(buckets, 5)
+	p := l.profile()
+	whole := p.of(0, oriole.LastPoint)
+	is.True(p.of(40, 43) > whole/2)               // the hot bucket
+	is.True(p.of(44, oriole.LastPoint) < whole/2) // the rest
+	is.Equal(p.hottest(oriole.Range{First: 0, Last: 1000}), oriole.Range{First: 40, Last: 43})
+	is.Equal(p.after(0, 1000, whole/2), oriole.Point(43))
+	is.Equal(p.ahead(0, 1000, whole/2), oriole.Point(40))
+	l.Age(now.Add(time.Minute))
+	is.True(l.profile().of(40, 43) < 1) // forgotten
+}
--- a/pkg/oriole/orioleassign/load.go
+++ b/pkg/oriole/orioleassign/load.go
@@ -124,3 +124,16 @@
 	}
 	return first
 }
+
+// hottest returns the part of the range that is the bucket with most load.
+func (p *profile) hottest(r oriole.Range) oriole.Range {
+	best, most := BucketOf(r.First), -1.0
+	for i := BucketOf(r.First); i <= BucketOf(r.Last); i++ {
+		if load := p.before[i+1] - p.before[i]; load > most {
+			best, most = i, load
+		}
+	}
+	r.First = max(r.First, oriole.Point(best*bucketPoints))
+	r.Last = min(r.Last, oriole.Point((best+1)*bucketPoints-1))
+	return r
+}
--- a/pkg/oriole/orioleassign/spread.go
+++ b/pkg/oriole/orioleassign/spread.go
@@ -195,6 +195,11 @@
 	if low.load < leastLoad {
 		want = max(want, leastLoad)
 	}
+	least := want * leastGain
+	if high.load >= fullUse*high.capacity {
+		// Whatever leaves is served better elsewhere.
+		least = 0
+	}
 	best, bestGain := oriole.Range{}, math.Inf(1)
 	index := -1
 	for i, r := range s.ranges {
@@ -203,19 +208,52 @@
 		}
 		for _, part := range s.parts(r, want) {
 			weight := s.load.of(part.First, part.Last)
-			if off := math.Abs(weight - want); weight >= want*leastGain && weight < want*mostGain && off < bestGain {
+			if off := math.Abs(weight - want); weight > least && weight < want*mostGain && off < bestGain {
 				best, bestGain, index = part, off, i
 			}
 		}
 	}
 	if index < 0 {
-		return false
+		return s.upgrade(high)
 	}
 	high.load -= s.load.of(best.First, best.Last)
 	s.replace(index, best, s.give(best, low))
 	return true
 }
 
+// upgradeGain is how much more a target must bear than the owner of a hot key
+// for the key to move there.
+const upgradeGain = 1.25
+
+// upgrade moves the hottest keys of a target that is overloaded, and that no
+// move can relieve, to the one that bears most: a single key can't be cut.
+func (s *spreader) upgrade(high *target) bool {
+	if high.load < fullUse*high.capacity {
+		return false
+	}
+	low := slices.MaxFunc(s.targets, func(a, b *target) int { return cmp.Compare(a.capacity, b.capacity) })
+	if low.capacity < upgradeGain*high.capacity {
+		return false
+	}
+	hottest, index, most := oriole.Range{}, -1, 0.0
+	for i, r := range s.ranges {
+		if r.Owner != high.life || !r.Ready() {
+			continue
+		}
+		part := s.load.hottest(r)
+		if weight := s.load.of(part.First, part.Last); weight > most {
+			hottest, index, most = part, i, weight
+		}
+	}
+	// A key that the new owner can't serve either displaces what it serves now.
+	if index < 0 || most < low.load {
+		return false
+	}
+	high.load -= most
+	s.replace(index, hottest, s.give(hottest, low))
+	return true
+}
+
 // pull returns the cost of giving the target more, which is nothing for one
 // that has hardly any load.
 func (t *target) pull() float64 {
@@ -251,7 +289,17 @@
 	head, tail := r, r
 	head.Last = s.load.after(r.First, r.Last, want)
 	tail.First = s.load.ahead(r.First, r.Last, want)
-	return append(parts, head, tail)
+	parts = append(parts, head, tail)
+	hot := s.load.hottest(r)
+	if r.First < hot.First {
+		head.Last = hot.First - 1
+		parts = append(parts, head)
+	}
+	if hot.Last < r.Last {
+		tail.First = hot.Last + 1
+		parts = append(parts, tail)
+	}
+	return parts
 }
 
 // replace puts given in the place of part, which is some of the range i.
--- /dev/null
+++ b/pkg/oriole/patch_test.go
@@ -0,0 +1,79 @@
+package oriole_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+)
+
+// drawAssignment draws a whole assignment.
+func drawAssignment(t *rapid.T, seq uint64) oriole.Assignment {
+	cuts := rapid.SliceOfNDistinct(rapid.IntRange(1, int(oriole.LastPoint)), 0, 6, rapid.ID).Draw(t, "cuts")
+	a := oriole.Assignment{Service: "s", Term: 1, Seq: seq, Fence: oriole.Fence(seq)}
+	first := 0
+	for first <= int(oriole.LastPoint) {
+		last := int(oriole.LastPoint)
+		for _, cut := range cuts {
+			if cut > first && cut-1 < last {
+				last = cut - 1
+			}
+		}
+		a.Ranges = append(a.Ranges, oriole.Range{
+			First: oriole.Point(first), Last: oriole.Point(last),
+			Owner: oriole.Life{ID: oriole.ServerID(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "owner")), Born: time.UnixMilli(1)},
+			Fence: oriole.Fence(rapid.Uint64Range(0, seq).Draw(t, "fence")),
+		})
+		first = last + 1
+	}
+	return a
+}
+
+// TestPatchMakesTheNextAssignment: whoever applies the patch holds, for each
+// point, what the leader holds.
+func TestPatchMakesTheNextAssignment(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		old, next := drawAssignment(t, 5), drawAssignment(t, 6)
+		patched, fits := old.Patched(old.Diff(&next))
+		if !fits || patched.Seq != next.Seq {
+			t.Fatalf("the patch does not fit")
+		}
+		for p := range 65536 / 97 {
+			point := oriole.Point(p * 97)
+			got, want := patched.Find(point), next.Find(point)
+			if got.Owner != want.Owner || got.Fence != want.Fence {
+				t.Fatalf("point %d: got %v, want %v", point, got, want)
+			}
+		}
+	})
+}
+
+func TestPatchOfAnotherBaseDoesNotFit(t *testing.T) {
+	is := is.New(t)
+	a := oriole.Assignment{Service: "s", Term: 2, Seq: 4, Ranges: []oriole.Range{{Last: oriole.LastPoint}}}
+	for _, p := range []oriole.AssignmentPatch{
+		{Service: "s", Term: 2, Base: 3, Seq: 5},
+		{Service: "s", Term: 3, Base: 4, Seq: 5},
+	} {
+		_, fits := a.Patched(p)
+		is.True(!fits)
+	}
+	var none *oriole.Assignment
+	_, fits := none.Patched(oriole.AssignmentPatch{})
+	is.True(!fits)
+}
+
+func TestGatewayIDs(t *testing.T) {
+	is := is.New(t)
+	old := oriole.NewGatewayID("edge-1.a", time.Unix(10, 0))
+	next := oriole.NewGatewayID("edge-1.a", time.Unix(11, 0))
+	other := oriole.NewGatewayID("edge-2", time.Unix(12, 0))
+	is.Equal(old.VM(), "edge-1.a")
+	is.True(next.Succeeds(old))
+	is.True(!old.Succeeds(next))
+	is.True(!other.Succeeds(old))
+	is.True(!oriole.GatewayID("odd").Succeeds("odd"))
+}
