--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -145,7 +145,8 @@
 	peers := oriolecaller.NewServer("serve peers", listeners[2], mux, nil)
 	metrics := oriolecaller.NewServer("serve metrics", listeners[3], http.HandlerFunc(r.serveMetrics), nil)
 	for _, duty := range []suture.Service{
-		timerDuty{r.timers}, r.hub, r.links, r.keeper, r.lead, &announceDuty{r}, &membersDuty{r},
+		timerDuty{r.timers},
+		r.hub, r.links, r.keeper, r.lead, &announceDuty{r}, &membersDuty{r},
 		&oriolecaller.LoadDuty{Entry: r.entry, Timers: r.timers}, r.callers, ready, peers, metrics,
 	} {
 		r.Add(duty)
