Recognise requests that crash upstreams, by all gateways

Change: keepers note what ran when a connection broke; if that life then ends, the request is blamed, and all peers are told; after three lives it is refused.

--- a/internal/oriolemessage/message_gen.go
+++ b/internal/oriolemessage/message_gen.go
@@ -50,16 +50,13 @@
 	Zone string `json:"zone"`
 }
 
-// Blame tells of a request that was running when an upstream failed.
+// Blame tells of a request that was running when an upstream's life ended.
 type Blame struct {
-	// Clear takes earlier blame back.
-	Clear bool `json:"clear"`
+	// Life corresponds to the JSON schema field "life".
+	Life Life `json:"life"`
 
 	// Print corresponds to the JSON schema field "print".
 	Print uint64 `json:"print"`
-
-	// Server corresponds to the JSON schema field "server".
-	Server string `json:"server"`
 }
 
 // Bucket counts the requests for one run of keys.
--- a/internal/oriolemessage/patch.go
+++ b/internal/oriolemessage/patch.go
@@ -68,3 +68,11 @@
 	}
 	return counts, spans
 }
+
+// FromBlame returns the message that tells of a request that ended an upstream.
+func FromBlame(print uint64, life oriole.Life) *Blame {
+	return &Blame{Print: print, Life: fromLife(life)}
+}
+
+// ToBlame returns what the message tells.
+func (b *Blame) ToBlame() (print uint64, life oriole.Life) { return b.Print, toLife(b.Life) }
--- a/internal/oriolerouter/oriolekeep/keep.go
+++ b/internal/oriolerouter/oriolekeep/keep.go
@@ -13,6 +13,7 @@
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolegateway/oriolesight"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleblame"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolekeeper"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolepool"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolering"
@@ -50,6 +51,8 @@
 	// Spans is told now and then how long requests run at upstreams of a
 	// divided service.
 	Spans func(service oriole.ServiceName, spans map[oriole.ServerID]time.Duration)
+	// Blame tells peers of a request that ended an upstream.
+	Blame func(print orioleblame.Print, life oriole.Life)
 	// Forget is told which lives of upstreams are still of use.
 	Forget func(keep func(oriole.Life) bool)
 }
@@ -69,6 +72,13 @@
 	arrival *arrival
 	result  *result
 	cancel  *arrival
+	blame   *blame
+}
+
+// blame is a peer's word that a request ended an upstream.
+type blame struct {
+	print orioleblame.Print
+	life  oriole.Life
 }
 
 type arrival struct {
@@ -78,6 +88,9 @@
 	// job and pool are set once the keeping duty has taken it.
 	job  oriolepool.JobID
 	pool oriole.PoolID
+	// print identifies the content, and life is where it was sent.
+	print orioleblame.Print
+	life  oriole.Life
 }
 
 type start struct {
@@ -124,6 +137,12 @@
 	})
 }
 
+// Blamed takes a peer's word that a request ended an upstream.
+func (k *Keeper) Blamed(print orioleblame.Print, life oriole.Life) {
+	// Another peer's word, or the next crash, does as well.
+	k.events.Offer(event{blame: &blame{print, life}})
+}
+
 // Finish waits until every request that was taken is answered.
 func (k *Keeper) Finish(ctx context.Context) error {
 	ticks, stop := k.cfg.Timers.Subscribe(tickInterval)
@@ -171,6 +190,7 @@
 	keeper *Keeper
 	pools  map[oriole.PoolID]*kept
 	next   oriolepool.JobID
+	blames *orioleblame.Register
 }
 
 // kept is a pool and the requests in it.
@@ -187,6 +207,7 @@
 	k := d.keeper
 	// A duty that starts again knows no requests; their callers time out.
 	d.pools = make(map[oriole.PoolID]*kept)
+	d.blames = orioleblame.New()
 	changed := k.cfg.Worlds.Subscribe()
 	ticks, stop := k.cfg.Timers.Subscribe(tickInterval)
 	defer stop()
@@ -219,8 +240,11 @@
 				e.cancel.reply(oriole.Refuse(oriole.ReasonCancelled))
 			}
 		}
+	case e.blame != nil:
+		d.blames.Blame(now, e.blame.print, e.blame.life)
 	case e.result != nil:
 		if p := d.pools[e.result.pool]; p != nil {
+			d.learn(now, p.jobs[e.result.job], e.result.answer)
 			p.pool.Done(now, e.result.job, e.result.answer)
 			d.carryOut(ctx, e.result.pool, p)
 		}
@@ -232,6 +256,12 @@
 		a.reply(oriole.Refuse(oriole.ReasonCancelled))
 		return
 	}
+	a.print = orioleblame.PrintOf(a.request)
+	if d.blames.Refuses(now, a.print) {
+		d.keeper.cfg.Metrics.Add("pool_crash_refused", 1)
+		a.reply(oriole.Refuse(oriole.ReasonCrash))
+		return
+	}
 	id := a.request.Pool
 	p := d.pools[id]
 	if p == nil {
@@ -247,6 +277,27 @@
 	d.carryOut(ctx, id, p)
 }
 
+// learn notes what an answer says of requests that end upstreams.
+func (d *keepDuty) learn(now time.Time, a *arrival, answer oriole.Answer) {
+	switch {
+	case a == nil:
+	case answer.Outcome == oriole.OutcomeUnknown && answer.Reason == oriole.ReasonConnection:
+		d.blames.Lost(now, a.life, a.print)
+	case answer.Outcome == oriole.OutcomeNotRun && answer.Reason == oriole.ReasonConnection:
+		d.ended(now, a.life)
+	default:
+		d.blames.Answered(a.life)
+	}
+}
+
+// ended blames the requests that an upstream was running when its life ended.
+func (d *keepDuty) ended(now time.Time, life oriole.Life) {
+	for _, print := range d.blames.Ended(now, life) {
+		d.keeper.cfg.Log.WithFields(log.Fields{"upstream": life.ID, "print": uint64(print)}).Warn("request blamed for the end of its upstream")
+		d.keeper.cfg.Blame(print, life)
+	}
+}
+
 // update tells the pools of a change of the world.
 func (d *keepDuty) update(ctx context.Context, now time.Time) {
 	for id, p := range d.pools {
@@ -255,6 +306,11 @@
 		d.carryOut(ctx, id, p)
 	}
 	world := d.keeper.cfg.Worlds.World()
+	for _, life := range d.blames.Suspects() {
+		if u, listed := world.Upstreams[life.ID]; !listed || u.Life() != life {
+			d.ended(now, life)
+		}
+	}
 	d.keeper.cfg.Forget(func(life oriole.Life) bool {
 		u, listed := world.Upstreams[life.ID]
 		return listed && u.Life() == life
@@ -325,6 +381,7 @@
 		switch {
 		case effect.Start != nil:
 			s := start{arrival: p.jobs[effect.Start.Job], pool: id, Start: *effect.Start}
+			s.arrival.life = effect.Start.To.Life()
 			if !d.keeper.starts.Offer(s) {
 				p.pool.Done(d.keeper.cfg.Timers.Now(), effect.Start.Job, oriole.Refuse(oriole.ReasonQueueFull))
 				d.carryOut(ctx, id, p)
--- a/internal/oriolerouter/receiver.go
+++ b/internal/oriolerouter/receiver.go
@@ -5,6 +5,7 @@
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleblame"
 )
 
 // receiver sorts what peers send to the subtrees.
@@ -56,6 +57,9 @@
 		if a := r.hub.World().Assignments[oriole.ServiceName(frame.Want.Service)]; a != nil {
 			r.links.Send(from, &oriolemessage.Frame{Table: oriolemessage.FromAssignment(*a)})
 		}
+	case frame.Blame != nil:
+		print, life := frame.Blame.ToBlame()
+		r.keeper.Blamed(orioleblame.Print(print), life)
 	case frame.Feed != nil:
 		r.hub.Fed(frame.Feed)
 	case frame.Load != nil:
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -25,6 +25,7 @@
 	"github.com/orioleswitch/orioleswitch/internal/oriolerouter/oriolelink"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleassign"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleblame"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
 )
 
@@ -122,6 +123,7 @@
 	r.links.SetReceiver(receiver{r})
 	r.keeper = oriolekeep.New(oriolekeep.Config{
 		Worlds: r.hub, Sender: r.platform.Sender, Timers: r.timers, Metrics: r.metrics, Log: r.log, Forget: r.platform.Forget,
+		Blame: r.blame,
 		Spans: func(service oriole.ServiceName, spans map[oriole.ServerID]time.Duration) {
 			r.tellLoad(service, nil, spans)
 		},
@@ -193,6 +195,11 @@
 // feed passes on to all peers what has changed in the directory.
 func (r *Router) feed(f *oriolemessage.Feed) { r.links.Broadcast(&oriolemessage.Frame{Feed: f}) }
 
+// blame tells all peers of a request that ended an upstream.
+func (r *Router) blame(print orioleblame.Print, life oriole.Life) {
+	r.links.Broadcast(&oriolemessage.Frame{Blame: oriolemessage.FromBlame(uint64(print), life)})
+}
+
 // want asks the leader of a service for its whole assignment.
 func (r *Router) want(service oriole.ServiceName, leader oriole.GatewayID) {
 	r.links.Send(leader, &oriolemessage.Frame{Want: &oriolemessage.Want{Service: string(service)}})
--- a/internal/oriolerouter/system_test.go
+++ b/internal/oriolerouter/system_test.go
@@ -395,3 +395,36 @@
 		t.Errorf("a route that never was got %d", status)
 	}
 }
+
+// TestCrashRequest: a request that ends each upstream that runs it is refused by
+// every gateway once it has ended three, and all others go on.
+func TestCrashRequest(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newSystem(t)
+	for i := 2; i < 10; i++ {
+		s.upstream(fmt.Sprintf("tow-%d", i), undivided, "")
+	}
+	sent := 0
+	s.await("the request is refused everywhere", func() bool {
+		refused := 0
+		for _, vm := range []string{"vm-a", "vm-b", "vm-c"} {
+			sent++
+			status, _ := s.call(vm, http.MethodPost, "/book/crash", newID(), 1)
+			if status == http.StatusServiceUnavailable {
+				refused++
+			}
+		}
+		return refused == 3
+	})
+	ended := 0
+	for _, u := range s.ups {
+		if u.Ended() {
+			ended++
+		}
+	}
+	t.Logf("%d upstreams ended by %d requests", ended, sent)
+	is.True(ended >= 3 && ended <= 6) // three to convict, and those that were under way
+	status, _ := s.call("vm-b", http.MethodPost, "/book/other", newID(), 1)
+	is.Equal(status, http.StatusOK)
+}
--- /dev/null
+++ b/pkg/oriole/orioleblame/blame_test.go
@@ -0,0 +1,74 @@
+package orioleblame_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleblame"
+)
+
+func life(n int) oriole.Life {
+	return oriole.Life{ID: oriole.ServerID(fmt.Sprint("i-", n)), Born: time.Unix(int64(n), 0)}
+}
+
+func TestThreeCrashesConvict(t *testing.T) {
+	is := is.New(t)
+	r := orioleblame.New()
+	now := time.Unix(100, 0)
+	bad := orioleblame.PrintOf(oriole.Request{Method: "GET", Host: "h", Target: "/bad"})
+	for n := range 3 {
+		is.True(!r.Refuses(now, bad))
+		r.Lost(now, life(n), bad)
+		is.Equal(r.Ended(now.Add(time.Second), life(n)), []orioleblame.Print{bad})
+	}
+	is.True(r.Refuses(now, bad))
+	is.True(!r.Refuses(now.Add(2*time.Minute), bad))
+	other := orioleblame.PrintOf(oriole.Request{Method: "GET", Host: "h", Target: "/good"})
+	is.True(!r.Refuses(now, other))
+}
+
+func TestOneUpstreamCountsOnce(t *testing.T) {
+	is := is.New(t)
+	r := orioleblame.New()
+	now := time.Unix(100, 0)
+	for range 5 {
+		r.Blame(now, 7, life(1))
+	}
+	is.True(!r.Refuses(now, 7))
+}
+
+func TestLostAnswersAreNoCrashes(t *testing.T) {
+	is := is.New(t)
+	r := orioleblame.New()
+	now := time.Unix(100, 0)
+	for n := range 5 {
+		r.Lost(now, life(n), 7)
+		r.Answered(life(n))
+		is.Equal(len(r.Ended(now, life(n))), 0)
+	}
+	r.Lost(now, life(9), 7)
+	is.Equal(len(r.Ended(now.Add(time.Minute), life(9))), 0) // it ended much later
+	is.True(!r.Refuses(now, 7))
+}
+
+func TestPrintsDiffer(t *testing.T) {
+	is := is.New(t)
+	base := oriole.Request{Method: "POST", Host: "h", Target: "/a", Body: []byte("b")}
+	same := base
+	same.ID = "another attempt"
+	is.Equal(orioleblame.PrintOf(base), orioleblame.PrintOf(same))
+	for _, change := range []func(*oriole.Request){
+		func(r *oriole.Request) { r.Method = "PUT" },
+		func(r *oriole.Request) { r.Host = "i" },
+		func(r *oriole.Request) { r.Target = "/b" },
+		func(r *oriole.Request) { r.Body = []byte("c") },
+	} {
+		r := base
+		change(&r)
+		is.True(orioleblame.PrintOf(r) != orioleblame.PrintOf(base))
+	}
+}
