--- a/internal/oriolecli/serve.go
+++ b/internal/oriolecli/serve.go
@@ -5,6 +5,8 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/apex/log"
@@ -50,11 +52,36 @@
 	return c.serve(router, logger)
 }
 
+// refusedNames bounds the entries of the directory that are remembered as
+// refused.
+const refusedNames = 1024
+
+// refusals logs each entry that can't be read once, and counts them all.
+type refusals struct {
+	log   log.Interface
+	mu    sync.Mutex
+	known map[string]bool
+	count atomic.Int64
+}
+
+func (r *refusals) note(kind, name string, err error) {
+	r.count.Add(1)
+	r.mu.Lock()
+	entry := kind + "/" + name
+	told := r.known[entry] || len(r.known) >= refusedNames
+	if !told {
+		r.known[entry] = true
+	}
+	r.mu.Unlock()
+	if !told {
+		r.log.WithError(err).WithFields(log.Fields{"kind": kind, "name": name}).Warn("entry not read")
+	}
+}
+
 // newRouter returns a gateway that speaks the platform's language.
 func newRouter(settings oriolerouter.Settings, logger log.Interface) (r *oriolerouter.Router, cleanup func(), err error) {
-	directory, closeDirectory := platform.New(settings.Store, func(kind, name string, err error) {
-		logger.WithError(err).WithFields(log.Fields{"kind": kind, "name": name}).Warn("entry not read")
-	})
+	refused := &refusals{log: logger, known: make(map[string]bool)}
+	directory, closeDirectory := platform.New(settings.Store, refused.note)
 	requests, closeRequests := orioleupstream.New()
 	leaser, closeOrders := platform.NewLeaser()
 	router, closeRouter, err := oriolerouter.New(settings, oriolerouter.Platform{
@@ -70,6 +97,7 @@
 		closeOrders()
 		return nil, nil, err
 	}
+	router.Gauge("directory_entries_refused", refused.count.Load)
 	return router, func() {
 		closeRouter()
 		closeOrders()
--- /dev/null
+++ b/internal/oriolecli/site_test.go
@@ -0,0 +1,230 @@
+package oriolecli_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleswitch/orioleswitch/platform/standin"
+	"github.com/orioleswitch/orioleswitch/platform/wire"
+)
+
+// site runs gateways as processes against the stand-in platform.
+type site struct {
+	t         *testing.T
+	dir       string
+	store     *standin.Store
+	fleet     *standin.Fleet
+	storeAddr string
+	processes map[string]*process
+}
+
+type process struct {
+	callers string
+	cmd     *exec.Cmd
+	output  bytes.Buffer
+	ended   chan error
+}
+
+func newSite(t *testing.T) *site {
+	s := &site{
+		t: t, dir: t.TempDir(), store: standin.NewStore(), fleet: standin.NewFleet(), processes: make(map[string]*process),
+	}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.Close)
+	s.storeAddr = strings.TrimPrefix(server.URL, "http://")
+	rule := func(kind, prefix, service string) wire.Rule {
+		return wire.Rule{
+			Name: prefix, Kind: kind, TargetLatencyMs: 300, Match: wire.Match{PathPrefix: prefix},
+			Action: wire.Action{Service: service, TimeoutMs: 1500, MaxAttempts: 2},
+		}
+	}
+	err := s.store.Put("config", "main", wire.Config{
+		Version:   1,
+		Limits:    wire.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
+		Listeners: []wire.Listener{{Host: "park.example", Rules: []wire.Rule{rule("idempotent", "/look/", "board"), rule("non_idempotent", "/book/", "tow")}}},
+		Clusters:  []wire.Cluster{{Name: "board", Sharded: true, ColdPerS: 50}, {Name: "tow", ColdPerS: 50}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 3 {
+		s.upstream(fmt.Sprintf("board-%d", i), "board", standin.Divided())
+		s.upstream(fmt.Sprintf("tow-%d", i), "tow")
+	}
+	return s
+}
+
+func (s *site) upstream(id, service string, options ...standin.Option) {
+	_, cleanup, err := standin.NewUpstream(s.fleet, s.store, id, service, "z", "", options...)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(cleanup)
+}
+
+// start runs a gateway as a process.
+func (s *site) start(vm string) *process {
+	ports := freePorts(s.t, 4)
+	settings := map[string]any{
+		"vm": vm, "zone": "z", "callers": ports[0], "ready": ports[1], "peers": ports[2], "metrics": ports[3],
+		"store": s.storeAddr, "memory": 184, "grace": "6s",
+	}
+	data, err := json.Marshal(settings)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	path := filepath.Join(s.dir, vm+".json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	p := &process{callers: ports[0], cmd: exec.Command("orioleswitch", "serve", "--settings", path), ended: make(chan error, 1)}
+	p.cmd.Stdout, p.cmd.Stderr = &p.output, &p.output
+	if err := p.cmd.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	go func() { p.ended <- p.cmd.Wait() }()
+	s.t.Cleanup(func() { _ = p.cmd.Process.Kill() })
+	s.processes[vm] = p
+	return p
+}
+
+func freePorts(t *testing.T, n int) []string {
+	var ports []string
+	for range n {
+		server := httptest.NewServer(nil)
+		ports = append(ports, strings.TrimPrefix(server.URL, "http://"))
+		defer server.Close()
+	}
+	return ports
+}
+
+// get sends a lookup or a booking, and returns its status, or 0.
+func (s *site) get(vm, method, path string, n int) int {
+	req, err := http.NewRequest(method, "http://"+s.processes[vm].callers+path, nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	req.Host = "park.example"
+	req.Header.Set("X-Attempt-Id", fmt.Sprintf("%s-%s-%d-%d", vm, method, n, time.Now().UnixNano()))
+	req.Header.Set("X-Deadline-Ms", "1500")
+	req.Header.Set("X-Shard-Key", fmt.Sprint(n*7919%65536))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// await waits until all gateways serve both services. Its bound is the
+// platform's time to recover from the loss of everything.
+func (s *site) await(vms ...string) {
+	s.t.Helper()
+	deadline := time.Now().Add(15 * time.Second)
+	for n := 0; ; n++ {
+		served := 0
+		for _, vm := range vms {
+			if s.get(vm, http.MethodGet, "/look/1", n) == http.StatusOK && s.get(vm, http.MethodPost, "/book/1", n) == http.StatusOK {
+				served++
+			}
+		}
+		if served == len(vms) {
+			return
+		}
+		if time.Now().After(deadline) {
+			for vm, p := range s.processes {
+				s.t.Logf("%s: %s", vm, p.output.String())
+			}
+			s.t.Fatal("not served in time")
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// TestServe plays a short day over processes: all start, one is stopped, one is
+// killed, both come back.
+func TestServe(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	for _, vm := range []string{"vm-a", "vm-b", "vm-c"} {
+		s.start(vm)
+	}
+	s.await("vm-a", "vm-b", "vm-c")
+	is.NoErr(s.processes["vm-a"].cmd.Process.Signal(syscall.SIGTERM))
+	is.NoErr(s.processes["vm-b"].cmd.Process.Signal(syscall.SIGHUP))
+	failed := 0
+	for n := range 50 {
+		if s.get("vm-c", http.MethodPost, "/book/2", n) != http.StatusOK {
+			failed++
+		}
+	}
+	is.Equal(failed, 0)                       // a planned stop cuts nothing
+	is.NoErr(<-s.processes["vm-a"].ended)     // and ends well
+	lines := logLines(t, s.processes["vm-a"]) // and is told
+	is.Equal(lines[0], "started")
+	is.Equal(lines[len(lines)-1], "stopped")
+	is.NoErr(s.processes["vm-b"].cmd.Process.Kill())
+	<-s.processes["vm-b"].ended
+	is.True(strings.Contains(s.processes["vm-b"].output.String(), "settings checked"))
+	s.await("vm-c")
+	s.start("vm-a")
+	s.start("vm-b")
+	s.await("vm-a", "vm-b", "vm-c")
+	is.Equal(s.fleet.Broken(), nil)
+}
+
+// logLines returns the messages of a process's log, each of which is JSON.
+func logLines(t *testing.T, p *process) []string {
+	var messages []string
+	scanner := bufio.NewScanner(bytes.NewReader(p.output.Bytes()))
+	for scanner.Scan() {
+		var line struct {
+			Message string `json:"message"`
+		}
+		if err := json.Unmarshal(scanner.Bytes(), &line); err != nil {
+			t.Fatalf("log line %q: %v", scanner.Text(), err)
+		}
+		messages = append(messages, line.Message)
+	}
+	return messages
+}
+
+// TestServeSettings: settings that can't be taken are refused, by the field.
+func TestServeSettings(t *testing.T) {
+	good := `{"vm":"a","zone":"z","callers":"127.0.0.1:1","ready":"127.0.0.1:2","peers":"127.0.0.1:3","metrics":"127.0.0.1:4","store":"127.0.0.1:5","memory":184,"grace":"6s"}`
+	for _, test := range []struct{ old, text, want string }{
+		{`"vm":"a"`, `"vm":""`, "vm: is missing"},
+		{`"zone":"z"`, `"zone":""`, "zone: is missing"},
+		{`"store":"127.0.0.1:5",`, ``, "store: is missing"},
+		{`184`, `-1`, "memory: must be above 0"},
+		{`"6s"`, `"0s"`, "grace: must be above 0"},
+		{`"vm"`, `"wm"`, `unknown field "wm"`},
+		{`}`, ``, "unexpected EOF"},
+	} {
+		t.Run(test.want, func(t *testing.T) {
+			is := is.New(t)
+			path := filepath.Join(t.TempDir(), "settings.json")
+			is.NoErr(os.WriteFile(path, []byte(strings.Replace(good, test.old, test.text, 1)), 0o600))
+			output, err := exec.Command("orioleswitch", "serve", "--settings", path).CombinedOutput()
+			is.True(err != nil)
+			is.True(strings.Contains(string(output), test.want))
+		})
+	}
+}
--- a/internal/oriolerouter/duties.go
+++ b/internal/oriolerouter/duties.go
@@ -30,7 +30,6 @@
 	for ctx.Err() == nil && !r.leaving.Load() {
 		err := r.platform.Directory.Announce(ctx, r.self)
 		if err == nil {
-			r.known.Store(true)
 			r.log.Info("announced")
 			break
 		}
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -76,7 +76,6 @@
 	entry   *oriolecaller.Entry
 	callers *oriolecaller.Server
 	leaving atomic.Bool
-	known   atomic.Bool
 }
 
 // New returns a gateway that listens at the addresses of its settings, and a
@@ -112,6 +111,9 @@
 	return r, cleanup, nil
 }
 
+// Gauge publishes a value among the gateway's counters.
+func (r *Router) Gauge(name string, value func() int64) { r.metrics.Gauge(name, value) }
+
 // build makes the tree.
 func (r *Router) build(listeners []net.Listener) {
 	spec := suture.Spec{EventHook: r.failed}
