Outlast orders that are not answered, and close idle connections safely

Change: an order that left without an answer counts against a server only after two seconds without any; new fences are gathered for a quarter of a second. Idle connections are closed at the end, each only if nothing of a request was read.

--- a/internal/oriolerouter/oriolecaller/server.go
+++ b/internal/oriolerouter/oriolecaller/server.go
@@ -5,7 +5,6 @@
 	"log"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,30 +19,27 @@
 
 // Server serves HTTP on a listener as a duty.
 type Server struct {
-	name     string
-	server   *http.Server
-	listener net.Listener
-	handler  http.Handler
+	name    string
+	server  *http.Server
+	handler http.Handler
 	// leaving makes connections end with their next answer, and closed says
 	// that no more are accepted.
 	leaving atomic.Bool
 	closed  atomic.Bool
 	// active counts the requests that are being answered.
 	active atomic.Int64
+	conns  *watchedListener
 }
 
 // NewServer returns a duty that serves the handler. If idle is set, it returns
 // how long a connection may stay idle, and is asked each time one turns idle.
 func NewServer(name string, listener net.Listener, handler http.Handler, idle func() time.Duration) *Server {
-	s := &Server{name: name, listener: listener, handler: handler}
+	s := &Server{name: name, handler: handler, conns: newWatchedListener(listener, idle)}
 	s.server = &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: headerTimeout,
 		ErrorLog:          log.New(discard{}, "", 0),
-	}
-	if idle != nil {
-		timers := &idleTimers{idle: idle, timers: make(map[net.Conn]*time.Timer)}
-		s.server.ConnState = timers.changed
+		ConnState:         s.conns.changed,
 	}
 	return s
 }
@@ -70,7 +66,7 @@
 func (s *Server) Serve(ctx context.Context) (err error) {
 	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
 	defer stop()
-	err = s.server.Serve(s.listener)
+	err = s.server.Serve(s.conns)
 	if s.closed.Load() || errors.Is(err, http.ErrServerClosed) {
 		// What is being answered goes on.
 		<-ctx.Done()
@@ -86,43 +82,23 @@
 // finishInterval is how often a server looks whether it has finished.
 const finishInterval = 20 * time.Millisecond
 
-// Finish accepts no connections any more and waits for the requests that are
-// being answered.
+// Finish accepts no connections any more, closes those that are idle, and waits
+// for the requests that are being answered.
 func (s *Server) Finish(ctx context.Context, timers oriole.Timers) (err error) {
 	s.closed.Store(true)
 	// It fails only if the listener is closed already.
-	_ = s.listener.Close()
+	_ = s.conns.Close()
 	ticks, stop := timers.Subscribe(finishInterval)
 	defer stop()
-	for s.active.Load() > 0 {
+	for {
+		s.conns.closeIdle()
+		if s.active.Load() == 0 {
+			return nil
+		}
 		select {
 		case <-ticks:
 		case <-ctx.Done():
 			return errors.Wrapf(ctx.Err(), "%s: %d requests not answered", s.name, s.active.Load())
 		}
 	}
-	return nil
-}
-
-// idleTimers closes connections that stay idle. net/http fixes the time when a
-// server starts, while the configuration changes it.
-type idleTimers struct {
-	idle   func() time.Duration
-	mu     sync.Mutex
-	timers map[net.Conn]*time.Timer
-}
-
-func (t *idleTimers) changed(conn net.Conn, state http.ConnState) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if timer := t.timers[conn]; timer != nil {
-		timer.Stop()
-		delete(t.timers, conn)
-	}
-	if state != http.StateIdle && state != http.StateNew {
-		return
-	}
-	if span := t.idle(); span > 0 {
-		t.timers[conn] = time.AfterFunc(span, func() { _ = conn.Close() })
-	}
 }
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -54,6 +54,12 @@
 	// counts as down, and downFor how long it then gets no ranges.
 	downAfter = 2
 	downFor   = 3 * time.Second
+	// silentAfter is how long orders must have gone unanswered. It leaves a
+	// lease time for two more tries.
+	silentAfter = 2 * time.Second
+	// refenceWait gathers ranges that need a new fence: when a connection
+	// breaks, all ranges of its upstream do.
+	refenceWait = 250 * time.Millisecond
 	// probedFor is how long a successful probe counts.
 	probedFor = 10 * time.Second
 )
@@ -99,6 +105,8 @@
 	leading   bool
 	confirmed time.Time
 	planDue   time.Time
+	// refenceDue is when spent fences may be replaced.
+	refenceDue time.Time
 	// seq is the highest that a table of this term was given, dirty that the
 	// table is ahead of the store.
 	seq   uint64
@@ -119,11 +127,16 @@
 	granting  bool
 	releasing int
 	probing   bool
-	failures  int
-	refused   int
-	down      bool
-	downUntil time.Time
-	probed    time.Time
+	// failures counts connections that failed in a row, refused those that
+	// nothing listened for, and unanswered the orders that left without an
+	// answer since silentSince.
+	failures    int
+	refused     int
+	unanswered  int
+	silentSince time.Time
+	down        bool
+	downUntil   time.Time
+	probed      time.Time
 	// ended says that this life is over for certain.
 	ended bool
 	// span is how long requests run there, or 0.
--- a/pkg/oriole/orioleassign/order.go
+++ b/pkg/oriole/orioleassign/order.go
@@ -251,7 +251,7 @@
 			m.planDue = now
 		}
 	}
-	m.judge(now, c.life, h, r.Err)
+	m.judge(now, c, h, r.Err)
 	m.Tick(now)
 }
 
@@ -339,28 +339,36 @@
 	}
 }
 
-// judge decides from the result of an order whether the upstream is down.
-func (m *Machine) judge(now time.Time, life oriole.Life, h *holder, err error) {
+// judge decides from the result of an order whether the upstream is down. An
+// order that left and was not answered says little by itself: the upstream may
+// carry it out late, while requests are served there.
+func (m *Machine) judge(now time.Time, c call, h *holder, err error) {
 	switch {
 	case err == nil, errors.Is(err, oriole.ErrFenced):
-		h.failures, h.refused, h.down = 0, 0, false
+		h.failures, h.refused, h.unanswered, h.down = 0, 0, 0, false
 		return
-	case errors.Is(err, oriole.ErrReconnected):
-		// A kept connection ended, which says little.
+	case errors.Is(err, oriole.ErrReconnected), c.kind == orderRelease && sent(err):
 		return
 	case errors.Is(err, oriole.ErrReplaced):
 		h.refused = downAfter
 	case errors.Is(err, oriole.ErrUnreachable):
 		h.refused++
+		h.failures++
+	case errors.Is(err, oriole.ErrNotSent):
+		h.failures++
+	default:
+		if h.unanswered == 0 {
+			h.silentSince = now
+		}
+		h.unanswered++
 	}
-	h.failures++
 	if h.refused >= downAfter && !h.ended {
 		h.ended = true
-		m.note("ended", Note{Server: life.ID, Detail: err.Error()})
+		m.note("ended", Note{Server: c.life.ID, Detail: err.Error()})
 	}
-	if h.failures >= downAfter {
+	if h.failures >= downAfter || (h.unanswered > downAfter && now.Sub(h.silentSince) >= silentAfter) {
 		if !h.down {
-			m.note("down", Note{Server: life.ID, Detail: err.Error()})
+			m.note("down", Note{Server: c.life.ID, Detail: err.Error()})
 		}
 		h.down = true
 		h.downUntil = now.Add(downFor)
--- a/pkg/oriole/orioleassign/plan.go
+++ b/pkg/oriole/orioleassign/plan.go
@@ -62,11 +62,15 @@
 	targets := m.targets(now, false)
 	due := !m.planDue.After(now)
 	var s *spreader
-	if due || m.disordered(targets) {
+	refence := !m.refenceDue.After(now)
+	if due || m.disordered(targets, refence) {
 		m.load.Age(now)
 		s = newSpreader(m.stored.Ranges, targets, m.load.profile())
 		s.rescue()
-		s.refence(m.leases)
+		if refence {
+			s.refence(m.leases)
+			m.refenceDue = now.Add(refenceWait)
+		}
 	}
 	if due {
 		m.planDue = now.Add(planWait)
@@ -94,9 +98,9 @@
 	m.write(now, next)
 }
 
-// disordered reports whether an owner may not serve its range, or a fence is
-// spent.
-func (m *Machine) disordered(targets []target) bool {
+// disordered reports whether an owner may not serve its range, or, if fences
+// may be replaced, whether one is spent.
+func (m *Machine) disordered(targets []target, refence bool) bool {
 	if len(targets) == 0 {
 		return false
 	}
@@ -104,7 +108,7 @@
 	for _, t := range targets {
 		lives[t.life] = true
 	}
-	return slices.ContainsFunc(m.leases, func(l lease) bool { return l.spent || !lives[l.Owner] })
+	return slices.ContainsFunc(m.leases, func(l lease) bool { return (refence && l.spent) || !lives[l.Owner] })
 }
 
 // unsettled returns the earlier leaders that may still renew leases.
