--- a/internal/oriolerouter/system_test.go
+++ b/internal/oriolerouter/system_test.go
@@ -330,7 +330,6 @@
 		}, 0.3},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			t.Parallel()
 			is := is.New(t)
 			s := newSystem(t)
 			counts, stop := s.load()
@@ -356,7 +355,6 @@
 // TestLeave: a gateway that is told to end hands over what it leads and keeps,
 // and cuts no request.
 func TestLeave(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	s := newSystem(t)
 	counts, stop := s.load()
@@ -381,7 +379,6 @@
 // TestConfigurationInForce: a route that moves to another service is followed by
 // every gateway.
 func TestConfigurationInForce(t *testing.T) {
-	t.Parallel()
 	s := newSystem(t)
 	s.configure(divided, divided)
 	for _, vm := range []string{"vm-a", "vm-b", "vm-c"} {
@@ -399,7 +396,6 @@
 // TestCrashRequest: a request that ends each upstream that runs it is refused by
 // every gateway once it has ended three, and all others go on.
 func TestCrashRequest(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	s := newSystem(t)
 	for i := 2; i < 10; i++ {
