--- a/internal/oriolecli/serve.go
+++ b/internal/oriolecli/serve.go
@@ -10,9 +10,9 @@
 	"syscall"
 
 	"github.com/apex/log"
-	applog "github.com/apex/log/handlers/json"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolerouter"
+	"github.com/orioleswitch/orioleswitch/internal/oriolerouter/oriolelog"
 	"github.com/orioleswitch/orioleswitch/internal/orioleupstream"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
 	"github.com/orioleswitch/orioleswitch/platform"
@@ -42,13 +42,17 @@
 	if err != nil {
 		return usageError{err}
 	}
-	logger := &log.Logger{Handler: applog.New(c.env.stdout), Level: level}
+	lines := oriolelog.New(c.env.stdout)
+	defer lines.Flush()
+	logger := &log.Logger{Handler: lines, Level: level}
 	debug.SetMemoryLimit(int64(memoryPart * float64(settings.Memory)))
 	router, cleanup, err := newRouter(settings, logger.WithField("vm", settings.VM))
 	if err != nil {
 		return err
 	}
 	defer cleanup()
+	router.Add(lines)
+	router.Gauge("log_lines_dropped", lines.Dropped)
 	return c.serve(router, logger)
 }
 
--- a/internal/oriolerouter/oriolecaller/entry.go
+++ b/internal/oriolerouter/oriolecaller/entry.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/orioleswitch/orioleswitch/internal/oriolegateway/oriolesight"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleassign"
@@ -52,6 +54,7 @@
 	Peers   Peers
 	Clock   oriole.Clock
 	Metrics *oriolesight.Metrics
+	Log     log.Interface
 	// Loads sends the leader of a service how many requests came for buckets
 	// of its keys.
 	Loads func(service oriole.ServiceName, counts map[int]int)
@@ -90,10 +93,12 @@
 		if reason != oriole.ReasonNone {
 			a := oriole.Refuse(reason)
 			a.RetryAfter = ownerRetry
+			e.tell(r, "", a, sent)
 			return settle(a, mayHaveRun)
 		}
 		r.Pool = pool
 		a := e.run(ctx, keeper, r)
+		e.tell(r, keeper, a, sent)
 		mayHaveRun = mayHaveRun || a.Outcome == oriole.OutcomeUnknown
 		if !e.again(ctx, r, a, sent, attempts) {
 			return settle(a, mayHaveRun)
@@ -105,6 +110,26 @@
 	}
 }
 
+// tell logs a try that got no answer, with what it was decided by.
+func (e *Entry) tell(r oriole.Request, keeper oriole.GatewayID, a oriole.Answer, try int) {
+	if a.Outcome == oriole.OutcomeAnswered {
+		return
+	}
+	world := e.cfg.Hub.World()
+	fields := log.Fields{
+		"id": r.ID, "service": r.Service, "pool": r.Pool.String(), "keeper": keeper, "upstream": a.Server,
+		"outcome": a.Outcome.String(), "reason": a.Reason.String(), "try": try,
+		"left": r.Deadline.Sub(e.cfg.Clock.Now()).String(), "retry": a.RetryAfter.String(),
+	}
+	if world.Config != nil {
+		fields["config"] = world.Config.Version
+	}
+	if assigned := world.Assignments[r.Service]; assigned != nil && r.Divided {
+		fields["point"], fields["term"], fields["table"] = r.Point, assigned.Term, assigned.Seq
+	}
+	e.cfg.Log.WithFields(fields).Info("try not answered")
+}
+
 // settle keeps a request from being called not run that may have run before.
 func settle(a oriole.Answer, mayHaveRun bool) oriole.Answer {
 	if a.Outcome == oriole.OutcomeNotRun && mayHaveRun {
--- a/internal/oriolerouter/oriolecaller/entry_test.go
+++ b/internal/oriolerouter/oriolecaller/entry_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolegateway/oriolesight"
@@ -49,6 +51,7 @@
 	return NewEntry(EntryConfig{
 		Self: oriole.Member{ID: "vm.1", Zone: "z"}, Hub: fakeHub{world}, Keeper: keeper, Peers: noPeers{},
 		Clock: orioletimer.New(), Metrics: oriolesight.NewMetrics(),
+		Log: &log.Logger{Handler: discard.New()},
 	})
 }
 
--- a/internal/oriolerouter/oriolecaller/server.go
+++ b/internal/oriolerouter/oriolecaller/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log"
 	"net"
 	"net/http"
@@ -38,8 +39,9 @@
 	s.server = &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: headerTimeout,
-		ErrorLog:          log.New(discard{}, "", 0),
-		ConnState:         s.conns.changed,
+		// Callers that break off are no news.
+		ErrorLog:  log.New(io.Discard, "", 0),
+		ConnState: s.conns.changed,
 	}
 	return s
 }
@@ -54,12 +56,6 @@
 	s.handler.ServeHTTP(w, r)
 }
 
-// discard drops what net/http logs: callers that break off are no news.
-type discard struct{}
-
-// Write implements io.Writer.
-func (discard) Write(data []byte) (int, error) { return len(data), nil }
-
 func (s *Server) String() string { return s.name }
 
 // Serve implements suture.Service.
--- a/internal/oriolerouter/oriolekeep/keep.go
+++ b/internal/oriolerouter/oriolekeep/keep.go
@@ -356,6 +356,18 @@
 	}
 }
 
+// tell logs a request that got no answer here, with what it was decided by.
+func (d *keepDuty) tell(a *arrival, p *kept, answer oriole.Answer) {
+	if answer.Outcome == oriole.OutcomeAnswered {
+		return
+	}
+	d.keeper.cfg.Log.WithFields(log.Fields{
+		"id": a.request.ID, "pool": a.pool.String(), "upstream": a.life.ID, "outcome": answer.Outcome.String(),
+		"reason": answer.Reason.String(), "waiting": p.pool.Waiting(), "wait": answer.Wait.String(),
+		"left": a.request.Deadline.Sub(d.keeper.cfg.Timers.Now()).String(),
+	}).Info("not answered by the pool")
+}
+
 // tellSpans tells how long requests run at the upstreams of divided services.
 func (d *keepDuty) tellSpans() {
 	byService := make(map[oriole.ServiceName]map[oriole.ServerID]time.Duration)
@@ -389,6 +401,7 @@
 		case effect.Answer != nil:
 			a := p.jobs[effect.Answer.Job]
 			delete(p.jobs, effect.Answer.Job)
+			d.tell(a, p, effect.Answer.Answer)
 			d.keeper.cfg.Metrics.Add("pool_"+effect.Answer.Answer.Outcome.String()+"_"+effect.Answer.Answer.Reason.String(), 1)
 			a.reply(effect.Answer.Answer)
 		}
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -138,7 +138,7 @@
 		},
 	}, spec)
 	r.entry = oriolecaller.NewEntry(oriolecaller.EntryConfig{
-		Self: r.self, Hub: r.hub, Keeper: r.keeper, Peers: r.links, Clock: r.timers, Metrics: r.metrics,
+		Self: r.self, Hub: r.hub, Keeper: r.keeper, Peers: r.links, Clock: r.timers, Metrics: r.metrics, Log: r.log,
 		Loads: func(service oriole.ServiceName, counts map[int]int) { r.tellLoad(service, counts, nil) },
 	})
 	handler := oriolecaller.NewHandler(r.entry, r.platform.Dialect)
