Let a leader that alone loses the store give up the lead

Change: a leader whose reads fail while a peer passes on news of the directory gives up its lead and says so; the next takes over at once.

--- a/internal/oriolerouter/oriolelead/lead.go
+++ b/internal/oriolerouter/oriolelead/lead.go
@@ -109,6 +109,11 @@
 	l.put(ctx, event{service, func(now time.Time, m *orioleassign.Machine) { m.Heard(now, peer, term) }})
 }
 
+// Fed takes that a peer has passed on news of the directory.
+func (l *Lead) Fed(ctx context.Context) {
+	l.put(ctx, event{"", func(now time.Time, m *orioleassign.Machine) { m.Fed(now) }})
+}
+
 // Loaded takes how many requests came for buckets of the service's keys, and
 // how long requests run at upstreams.
 func (l *Lead) Loaded(ctx context.Context, service oriole.ServiceName, counts map[int]int, spans map[oriole.ServerID]time.Duration) {
--- a/internal/oriolerouter/receiver.go
+++ b/internal/oriolerouter/receiver.go
@@ -62,6 +62,7 @@
 		r.keeper.Blamed(orioleblame.Print(print), life)
 	case frame.Feed != nil:
 		r.hub.Fed(frame.Feed)
+		r.lead.Fed(ctx)
 	case frame.Load != nil:
 		counts, spans := frame.Load.ToLoad()
 		r.lead.Loaded(ctx, oriole.ServiceName(frame.Load.Service), counts, spans)
--- a/pkg/oriole/orioleassign/assign_test.go
+++ b/pkg/oriole/orioleassign/assign_test.go
@@ -173,6 +173,11 @@
 			s.store.down = true
 			s.after(10*time.Second, func() { s.store.down = false })
 		}, 0},
+		{"leader alone can't reach the store, and a server drains", func(s *sim) {
+			s.store.away[s.leader().name] = true
+			s.servers[0].draining = true
+			s.tellWorld()
+		}, 2 * time.Second},
 		{"all gateways killed and back after 1 s", func(s *sim) {
 			for _, g := range s.gateways {
 				g.down = true
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -54,6 +54,11 @@
 	// counts as down, and downFor how long it then gets no ranges.
 	downAfter = 2
 	downFor   = 3 * time.Second
+	// awayAfter is how long a leader's reads must have failed before it gives up
+	// the lead to others that reach the store, and fedFor how long a sign that
+	// they do counts: they watch with waits of less than a second.
+	awayAfter = 400 * time.Millisecond
+	fedFor    = 1500 * time.Millisecond
 	// silentAfter is how long orders must have gone unanswered. It leaves a
 	// lease time for two more tries.
 	silentAfter = 2 * time.Second
@@ -98,13 +103,23 @@
 	readDue  time.Time
 	writing  *oriole.Assignment
 	writeDue time.Time
+	// fed is when a peer last passed on news of the directory, which shows that
+	// it reaches the store; awaySince is when this gateway's own reads began to
+	// fail, or zero.
+	fed       time.Time
+	awaySince time.Time
+	// resigned is the term that the stored leader was heard to have given up,
+	// or that this gateway has.
+	resigned uint64
 	// goneSince is when the leader was first found to be gone.
 	goneSince time.Time
 	leaving   bool
 
 	leading   bool
 	confirmed time.Time
-	planDue   time.Time
+	// took is how long the store's last confirmation was on its way.
+	took    time.Duration
+	planDue time.Time
 	// refenceDue is when spent fences may be replaced.
 	refenceDue time.Time
 	// seq is the highest that a table of this term was given, dirty that the
@@ -191,12 +206,31 @@
 
 // RightsEnd returns the term below which this gateway renews nothing any more.
 func (m *Machine) RightsEnd() uint64 {
-	if m.leaving {
+	if m.leaving || (m.stored.Leader == m.cfg.Self && m.resigned == m.stored.Term) {
 		return m.stored.Term + 1
 	}
 	return m.stored.Term
 }
 
+// Fed takes that a peer reaches the store.
+func (m *Machine) Fed(now time.Time) { m.fed = now }
+
+// confirm takes that the store, asked at started, has named this gateway the
+// leader.
+func (m *Machine) confirm(now, started time.Time) {
+	m.confirmed, m.took = started, now.Sub(started)
+}
+
+// resign gives up the lead if this gateway can't reach the store and others
+// can: they may change owners, and renew as well.
+func (m *Machine) resign(now time.Time) {
+	away := !m.awaySince.IsZero() && now.Sub(m.awaySince) >= awayAfter
+	if away && now.Sub(m.fed) < fedFor {
+		m.stepDown("the store can't be reached, but by others")
+		m.resigned = m.stored.Term
+	}
+}
+
 // World takes what the gateway now believes of the system.
 func (m *Machine) World(now time.Time, w *oriole.World) {
 	if !sameLives(m.world.UsableOf(m.cfg.Service), w.UsableOf(m.cfg.Service)) {
@@ -258,6 +292,12 @@
 func (m *Machine) ReadDone(now, started time.Time, a oriole.Assignment, version oriole.Version, lag bool, err error) {
 	m.reading = false
 	switch {
+	case err == nil, errors.Is(err, oriole.ErrNotFound):
+		m.awaySince = time.Time{}
+	case !lag && m.awaySince.IsZero():
+		m.awaySince = started
+	}
+	switch {
 	case errors.Is(err, oriole.ErrNotFound):
 		if !lag && !m.leading && (!m.known || m.stored.Term == 0) {
 			m.learn(oriole.Assignment{Service: m.cfg.Service}, 0, true)
@@ -265,6 +305,9 @@
 	case err != nil:
 		m.readDue = now.Add(readWait)
 		m.writeDue = now.Add(writeWait)
+		if m.leading {
+			m.resign(now)
+		}
 		return
 	default:
 		m.readBack(now, started, a, version, lag)
@@ -279,7 +322,7 @@
 	case lag && older:
 		return
 	case m.leading && a.Term == m.stored.Term && a.Leader == m.cfg.Self:
-		m.confirmed = started
+		m.confirm(now, started)
 		if m.exact && version == m.version {
 			return
 		}
@@ -288,11 +331,11 @@
 			m.commit(now, a, version)
 		}
 		m.exact = true
-	case !m.leading && a.Leader == m.cfg.Self && !m.leaving && !lag:
+	case !m.leading && a.Leader == m.cfg.Self && !m.leaving && !lag && m.resigned != a.Term:
 		// The answer to the write that took the lead was lost, or this gateway
 		// has stepped down meanwhile and may have sent the fences.
 		m.version, m.exact = version, true
-		m.confirmed = started
+		m.confirm(now, started)
 		m.lead(now, a)
 		for i := range m.leases {
 			m.leases[i].spent = true
@@ -312,7 +355,7 @@
 	case err == nil && m.known && a.Term < m.stored.Term:
 		return
 	case err == nil:
-		m.confirmed = started
+		m.confirm(now, started)
 		if m.leading {
 			m.commit(now, a, version)
 		} else {
@@ -322,6 +365,8 @@
 	case errors.Is(err, oriole.ErrBusy):
 		m.exact = true
 		m.writeDue = now.Add(writeWait)
+		// Whether the store refuses every call shows by a read.
+		m.read(now, false)
 	default:
 		// It may have taken effect, or another has written: read back.
 		m.writeDue = now.Add(writeWait)
@@ -372,6 +417,9 @@
 	if m.leading && m.prior[peer] && rightsEnd >= m.stored.Term {
 		m.settlePrior(now, &peer)
 	}
+	if !m.leading && peer == m.stored.Leader && rightsEnd > m.stored.Term {
+		m.resigned = m.stored.Term
+	}
 }
 
 // settlePrior crosses off the earlier leader that has given its word, and
@@ -452,7 +500,7 @@
 	if m.writing != nil || m.reading || !m.known || !m.world.Listed || now.Sub(m.start) < startWait {
 		return
 	}
-	if m.stored.Leader == m.cfg.Self && !m.writeDue.After(now) {
+	if m.stored.Leader == m.cfg.Self && m.resigned != m.stored.Term && !m.writeDue.After(now) {
 		m.read(now, false)
 		return
 	}
@@ -477,7 +525,7 @@
 // leaderGone reports whether nobody leads that is listed, heard and staying.
 func (m *Machine) leaderGone() bool {
 	leader, listed := m.world.Gateways[m.stored.Leader]
-	return m.stored.Leader == "" || !listed || leader.Leaving || !m.world.Alive[m.stored.Leader]
+	return m.stored.Leader == "" || (m.stored.Term > 0 && m.resigned == m.stored.Term) || !listed || leader.Leaving || !m.world.Alive[m.stored.Leader]
 }
 
 // claim writes an assignment that makes this gateway the leader.
--- a/pkg/oriole/orioleassign/order.go
+++ b/pkg/oriole/orioleassign/order.go
@@ -13,9 +13,11 @@
 // for work to end.
 const releasesAtOnce = 4
 
-// freshSpan is how recently the store must have confirmed the leader before a
-// fence is used for the first time. Most are used right after their write.
-const freshSpan = 500 * time.Millisecond
+// freshSpan is how recently the store's confirmation of the leader must have
+// arrived when a fence is used for the first time. Most are used right after
+// their write; the shorter, the less a leader that was replaced meanwhile may
+// do.
+const freshSpan = 150 * time.Millisecond
 
 // entitled reports whether the leader may still send orders.
 func (m *Machine) entitled(now time.Time) bool { return now.Before(m.confirmed.Add(m.cfg.Right)) }
@@ -187,7 +189,7 @@
 		if !found {
 			continue
 		}
-		if !l.tried && now.Sub(m.confirmed) > freshSpan {
+		if !l.tried && now.Sub(m.confirmed) > freshSpan+m.took {
 			// A fence is not first used by a leader that may be replaced: an
 			// owner that started anew would take it after a higher one.
 			m.read(now, false)
--- a/pkg/oriole/orioleassign/world_test.go
+++ b/pkg/oriole/orioleassign/world_test.go
@@ -121,6 +121,7 @@
 		s.servers = append(s.servers, srv)
 		s.boot(srv)
 	}
+	s.after(0, s.pulse)
 	for i := range gateways {
 		g := &simGateway{name: fmt.Sprintf("vm%d", i)}
 		s.gateways = append(s.gateways, g)
@@ -195,6 +196,9 @@
 		if g.runs != run || g.down {
 			return
 		}
+		if s.othersReachStore(g) {
+			s.deliver(g, func() { g.machine.Fed(s.now) })
+		}
 		s.deliver(g, func() { g.machine.Tick(s.now) })
 		s.after(50*time.Millisecond, tick)
 	}
@@ -202,6 +206,31 @@
 	s.after(0, s.tellWorld)
 }
 
+// othersReachStore reports whether a gateway that the one hears reaches the
+// store.
+func (s *sim) othersReachStore(g *simGateway) bool {
+	for _, other := range s.gateways {
+		if other != g && !other.down && !other.paused && !s.cut[[2]string{other.name, g.name}] && !s.store.away[other.name] && !s.store.down {
+			return true
+		}
+	}
+	return false
+}
+
+// pulse makes all gateways tell the others which terms they renew.
+func (s *sim) pulse() {
+	for _, g := range s.gateways {
+		for _, other := range s.gateways {
+			if g == other || g.down || g.paused || s.cut[[2]string{g.name, other.name}] {
+				continue
+			}
+			id, term := g.id, g.machine.RightsEnd()
+			s.deliver(other, func() { other.machine.Heard(s.now, id, term) })
+		}
+	}
+	s.after(200*time.Millisecond, s.pulse)
+}
+
 // deliver gives an event to the gateway, once it is not paused.
 func (s *sim) deliver(g *simGateway, event func()) {
 	if g.down {
