--- a/internal/oriolecli/site_test.go
+++ b/internal/oriolecli/site_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -69,7 +70,7 @@
 }
 
 func (s *site) upstream(id, service string, options ...standin.Option) {
-	_, cleanup, err := standin.NewUpstream(s.fleet, s.store, id, service, "z", "", options...)
+	_, cleanup, err := standin.NewUpstream(s.fleet, s.store, id, service, "z", netip.AddrPort{}, options...)
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/oriolerouter/oriolecaller/choice.go
+++ b/internal/oriolerouter/oriolecaller/choice.go
@@ -80,7 +80,12 @@
 	return cost
 }
 
+// begin counts a request that goes to the pool. Of divided services nothing is
+// chosen.
 func (c *choices) begin(pool oriole.PoolID) {
+	if pool.Server != "" {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.known[pool]
@@ -91,7 +96,11 @@
 	k.running++
 }
 
+// end learns from the answer to a request that was counted.
 func (c *choices) end(pool oriole.PoolID, a oriole.Answer, now, start time.Time) {
+	if pool.Server != "" {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.known[pool]
--- a/internal/oriolerouter/system_test.go
+++ b/internal/oriolerouter/system_test.go
@@ -62,10 +62,10 @@
 	s.address = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 	s.configure(divided, undivided)
 	for i := range 4 {
-		s.upstream(fmt.Sprintf("board-%d", i), divided, "", standin.Divided())
+		s.upstream(fmt.Sprintf("board-%d", i), divided, netip.AddrPort{}, standin.Divided())
 	}
 	for i := range 2 {
-		s.upstream(fmt.Sprintf("tow-%d", i), undivided, "")
+		s.upstream(fmt.Sprintf("tow-%d", i), undivided, netip.AddrPort{})
 	}
 	for _, vm := range []string{"vm-a", "vm-b", "vm-c"} {
 		s.start(vm)
@@ -105,7 +105,7 @@
 	}
 }
 
-func (s *system) upstream(id, service, addr string, options ...standin.Option) *standin.Upstream {
+func (s *system) upstream(id, service string, addr netip.AddrPort, options ...standin.Option) *standin.Upstream {
 	u, cleanup, err := standin.NewUpstream(s.fleet, s.store, id, service, "z", addr, options...)
 	if err != nil {
 		s.t.Fatal(err)
@@ -301,8 +301,8 @@
 			time.Sleep(2 * time.Second)
 		}, 0.8},
 		{"upstreams join", func(s *system) {
-			s.upstream("board-8", divided, "", standin.Divided(), standin.WithCold(500*time.Millisecond))
-			s.upstream("board-9", divided, "", standin.Divided())
+			s.upstream("board-8", divided, netip.AddrPort{}, standin.Divided(), standin.WithCold(500*time.Millisecond))
+			s.upstream("board-9", divided, netip.AddrPort{}, standin.Divided())
 			time.Sleep(2 * time.Second)
 		}, 0.98},
 		{"the store is down", func(s *system) {
@@ -313,7 +313,7 @@
 		}, 0.98},
 		{"the store loses answers and its history", func(s *system) {
 			s.store.SetLosing(true)
-			s.upstream("board-8", divided, "", standin.Divided())
+			s.upstream("board-8", divided, netip.AddrPort{}, standin.Divided())
 			time.Sleep(time.Second)
 			s.store.Compact()
 			s.store.SetLosing(false)
@@ -399,7 +399,7 @@
 	is := is.New(t)
 	s := newSystem(t)
 	for i := 2; i < 10; i++ {
-		s.upstream(fmt.Sprintf("tow-%d", i), undivided, "")
+		s.upstream(fmt.Sprintf("tow-%d", i), undivided, netip.AddrPort{})
 	}
 	sent := 0
 	s.await("the request is refused everywhere", func() bool {
--- a/pkg/oriole/directory.go
+++ b/pkg/oriole/directory.go
@@ -146,16 +146,4 @@
 	Reason  Reason
 	// Idle is how long the upstream keeps an idle connection, or 0.
 	Idle time.Duration
-	// Reported says that the answer told the upstream's load.
-	Reported bool
-	Load     UpstreamLoad
-}
-
-// UpstreamLoad is what an upstream says of its load.
-type UpstreamLoad struct {
-	Running int
-	Waiting int
-	// Slowdown is how long work takes on its VM now, as a multiple of what is
-	// usual; 0 if it was not told.
-	Slowdown float64
 }
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -4,10 +4,7 @@
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
-	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolekeeper"
 )
 
 // Config holds the times of one service's assignment.
@@ -204,33 +201,6 @@
 	return &m.stored
 }
 
-// RightsEnd returns the term below which this gateway renews nothing any more.
-func (m *Machine) RightsEnd() uint64 {
-	if m.leaving || (m.stored.Leader == m.cfg.Self && m.resigned == m.stored.Term) {
-		return m.stored.Term + 1
-	}
-	return m.stored.Term
-}
-
-// Fed takes that a peer reaches the store.
-func (m *Machine) Fed(now time.Time) { m.fed = now }
-
-// confirm takes that the store, asked at started, has named this gateway the
-// leader.
-func (m *Machine) confirm(now, started time.Time) {
-	m.confirmed, m.took = started, now.Sub(started)
-}
-
-// resign gives up the lead if this gateway can't reach the store and others
-// can: they may change owners, and renew as well.
-func (m *Machine) resign(now time.Time) {
-	away := !m.awaySince.IsZero() && now.Sub(m.awaySince) >= awayAfter
-	if away && now.Sub(m.fed) < fedFor {
-		m.stepDown("the store can't be reached, but by others")
-		m.resigned = m.stored.Term
-	}
-}
-
 // World takes what the gateway now believes of the system.
 func (m *Machine) World(now time.Time, w *oriole.World) {
 	if !sameLives(m.world.UsableOf(m.cfg.Service), w.UsableOf(m.cfg.Service)) {
@@ -249,209 +219,11 @@
 	return slices.EqualFunc(a, b, func(a, b oriole.Upstream) bool { return a.Life() == b.Life() && a.Addr == b.Addr })
 }
 
-// Leave ends the gateway's part: it orders nothing any more.
-func (m *Machine) Leave(now time.Time) {
-	m.leaving = true
-	m.stepDown("leaving")
-}
-
-// told takes an assignment as its leader tells of it.
-func (m *Machine) told(a oriole.Assignment) {
-	if !m.known || a.Newer(&m.stored) {
-		m.learn(a, 0, false)
-	}
-}
-
-// learn replaces what is known of the assignment.
-func (m *Machine) learn(a oriole.Assignment, version oriole.Version, exact bool) {
-	if m.leading && (a.Term != m.stored.Term || a.Leader != m.cfg.Self) {
-		m.stepDown("another gateway leads")
-	}
-	m.stored, m.version, m.known, m.exact = a, version, true, exact
-}
-
-func (m *Machine) stepDown(why string) {
-	if m.leading {
-		m.note("step-down", Note{Detail: why})
-	}
-	m.leading = false
-	m.writing = nil
-	m.leases = nil
-	m.goneSince = time.Time{}
-	clear(m.prior)
-	clear(m.calls)
-	clear(m.holders)
-}
-
 func (m *Machine) note(what string, n Note) {
 	n.What = what
 	m.out = append(m.out, Effect{Note: &n})
 }
 
-// ReadDone takes the result of a Read that was started at the given time.
-func (m *Machine) ReadDone(now, started time.Time, a oriole.Assignment, version oriole.Version, lag bool, err error) {
-	m.reading = false
-	switch {
-	case err == nil, errors.Is(err, oriole.ErrNotFound):
-		m.awaySince = time.Time{}
-	case !lag && m.awaySince.IsZero():
-		m.awaySince = started
-	}
-	switch {
-	case errors.Is(err, oriole.ErrNotFound):
-		if !lag && !m.leading && (!m.known || m.stored.Term == 0) {
-			m.learn(oriole.Assignment{Service: m.cfg.Service}, 0, true)
-		}
-	case err != nil:
-		m.readDue = now.Add(readWait)
-		m.writeDue = now.Add(writeWait)
-		if m.leading {
-			m.resign(now)
-		}
-		return
-	default:
-		m.readBack(now, started, a, version, lag)
-	}
-	m.Tick(now)
-}
-
-// readBack compares what the store holds with what was believed.
-func (m *Machine) readBack(now, started time.Time, a oriole.Assignment, version oriole.Version, lag bool) {
-	older := m.known && (a.Term < m.stored.Term || (a.Term == m.stored.Term && a.Seq < m.stored.Seq))
-	switch {
-	case lag && older:
-		return
-	case m.leading && a.Term == m.stored.Term && a.Leader == m.cfg.Self:
-		m.confirm(now, started)
-		if m.exact && version == m.version {
-			return
-		}
-		// A write whose answer was lost has taken effect, or had none.
-		if version != m.version {
-			m.commit(now, a, version)
-		}
-		m.exact = true
-	case !m.leading && a.Leader == m.cfg.Self && !m.leaving && !lag && m.resigned != a.Term:
-		// The answer to the write that took the lead was lost, or this gateway
-		// has stepped down meanwhile and may have sent the fences.
-		m.version, m.exact = version, true
-		m.confirm(now, started)
-		m.lead(now, a)
-		for i := range m.leases {
-			m.leases[i].spent = true
-		}
-	default:
-		m.learn(a, version, !lag)
-	}
-}
-
-// WriteDone takes the result of a Write that was started at the given time.
-func (m *Machine) WriteDone(now, started time.Time, a oriole.Assignment, version oriole.Version, err error) {
-	m.writing = nil
-	if m.leaving {
-		return
-	}
-	switch {
-	case err == nil && m.known && a.Term < m.stored.Term:
-		return
-	case err == nil:
-		m.confirm(now, started)
-		if m.leading {
-			m.commit(now, a, version)
-		} else {
-			m.version, m.exact = version, true
-			m.lead(now, a)
-		}
-	case errors.Is(err, oriole.ErrBusy):
-		m.exact = true
-		m.writeDue = now.Add(writeWait)
-		// Whether the store refuses every call shows by a read.
-		m.read(now, false)
-	default:
-		// It may have taken effect, or another has written: read back.
-		m.writeDue = now.Add(writeWait)
-		m.read(now, false)
-	}
-	m.Tick(now)
-}
-
-// lead begins a term that the store has confirmed.
-func (m *Machine) lead(now time.Time, a oriole.Assignment) {
-	m.stored, m.known = a, true
-	m.leading = true
-	m.seq, m.dirty = a.Seq, false
-	m.goneSince = time.Time{}
-	m.planDue = now
-	clear(m.prior)
-	clear(m.holders)
-	clear(m.calls)
-	for _, g := range a.Prior {
-		m.prior[g] = true
-	}
-	m.horizon = now
-	if len(m.prior) > 0 {
-		m.horizon = now.Add(m.cfg.Right)
-	}
-	m.leases = follow(nil, a.Ranges, m.horizon, now)
-	m.note("lead", Note{Fence: a.Fence, Detail: "term begins"})
-	m.settlePrior(now, nil)
-	m.tell()
-}
-
-// commit makes a change of the table take effect that the store has confirmed.
-func (m *Machine) commit(now time.Time, a oriole.Assignment, version oriole.Version) {
-	m.version, m.exact = version, true
-	m.leases = follow(m.leases, a.Ranges, m.horizon, now)
-	m.stored = a
-	m.settleGivers(now)
-	m.tell()
-}
-
-func (m *Machine) tell() {
-	a := m.stored.Clone()
-	m.out = append(m.out, Effect{Tell: &a})
-}
-
-// Heard takes a gateway's word that it renews nothing below the term.
-func (m *Machine) Heard(now time.Time, peer oriole.GatewayID, rightsEnd uint64) {
-	if m.leading && m.prior[peer] && rightsEnd >= m.stored.Term {
-		m.settlePrior(now, &peer)
-	}
-	if !m.leading && peer == m.stored.Leader && rightsEnd > m.stored.Term {
-		m.resigned = m.stored.Term
-	}
-}
-
-// settlePrior crosses off the earlier leader that has given its word, and
-// those that have certainly ended. Once none is left, no grant but this
-// leader's is under way.
-func (m *Machine) settlePrior(now time.Time, word *oriole.GatewayID) {
-	if !m.leading || len(m.prior) == 0 {
-		return
-	}
-	for g := range m.prior {
-		if m.ended(g) || (word != nil && *word == g) {
-			delete(m.prior, g)
-		}
-	}
-	if !m.horizon.After(now) {
-		// Their right has run out.
-		clear(m.prior)
-		return
-	}
-	if len(m.prior) > 0 {
-		return
-	}
-	m.horizon = now
-	for i := range m.leases {
-		l := &m.leases[i]
-		l.sent = earlier(l.sent, now)
-		for j := range l.givers {
-			l.givers[j].sent = earlier(l.givers[j].sent, now)
-		}
-	}
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -459,17 +231,6 @@
 	return b
 }
 
-// ended reports whether the gateway's process is over for certain: its VM runs
-// a later one.
-func (m *Machine) ended(g oriole.GatewayID) bool {
-	for id := range m.world.Gateways {
-		if id.Succeeds(g) {
-			return true
-		}
-	}
-	return m.cfg.Self.Succeeds(g)
-}
-
 // AddLoad takes recent requests of a bucket of points.
 func (m *Machine) AddLoad(bucket int, requests float64) { m.load.Add(bucket, requests) }
 
@@ -490,92 +251,3 @@
 	m.orderAll(now)
 	m.plan(now)
 }
-
-// follow keeps a gateway that does not lead up to date, and makes it a
-// candidate when the leader is gone.
-func (m *Machine) follow(now time.Time) {
-	if !m.readDue.After(now) {
-		m.read(now, m.known)
-	}
-	if m.writing != nil || m.reading || !m.known || !m.world.Listed || now.Sub(m.start) < startWait {
-		return
-	}
-	if m.stored.Leader == m.cfg.Self && m.resigned != m.stored.Term && !m.writeDue.After(now) {
-		m.read(now, false)
-		return
-	}
-	if !m.leaderGone() {
-		m.goneSince = time.Time{}
-		return
-	}
-	if m.goneSince.IsZero() {
-		m.goneSince = now
-	}
-	rank := slices.Index(oriolekeeper.Leaders(m.cfg.Service, m.world.Members()), m.cfg.Self)
-	if rank < 0 || now.Sub(m.goneSince) < time.Duration(rank)*rankWait || m.writeDue.After(now) {
-		return
-	}
-	if !m.exact {
-		m.read(now, false)
-		return
-	}
-	m.claim(now)
-}
-
-// leaderGone reports whether nobody leads that is listed, heard and staying.
-func (m *Machine) leaderGone() bool {
-	leader, listed := m.world.Gateways[m.stored.Leader]
-	return m.stored.Leader == "" || (m.stored.Term > 0 && m.resigned == m.stored.Term) || !listed || leader.Leaving || !m.world.Alive[m.stored.Leader]
-}
-
-// claim writes an assignment that makes this gateway the leader.
-func (m *Machine) claim(now time.Time) {
-	next := m.stored.Clone()
-	if len(next.Ranges) == 0 && now.Sub(m.changed) < firstWait {
-		return
-	}
-	if len(next.Ranges) == 0 {
-		targets := m.targets(now, true)
-		if len(targets) == 0 {
-			return
-		}
-		next.Ranges = initial(targets)
-	}
-	// Owners may have started anew under their IDs, and then must not get the
-	// fences that they had.
-	next.Fence++
-	for i := range next.Ranges {
-		next.Ranges[i].Fence = next.Fence
-	}
-	if next.Leader != "" && !slices.Contains(next.Prior, next.Leader) {
-		next.Prior = append(next.Prior, next.Leader)
-	}
-	next.Prior = slices.DeleteFunc(next.Prior, func(g oriole.GatewayID) bool { return m.ended(g) || g == m.cfg.Self })
-	next.Leader = m.cfg.Self
-	next.Term++
-	next.Seq = 1
-	m.write(now, next)
-}
-
-func (m *Machine) write(now time.Time, a oriole.Assignment) {
-	m.writing = &a
-	m.exact = false
-	m.out = append(m.out, Effect{Write: &Write{Assignment: a, Expected: m.version}})
-}
-
-func (m *Machine) read(now time.Time, lag bool) {
-	if m.reading {
-		return
-	}
-	m.reading = true
-	m.readDue = now.Add(pollWait)
-	m.out = append(m.out, Effect{Read: &Read{Lag: lag}})
-}
-
-// keepRight has the store confirm in good time that this gateway still leads.
-func (m *Machine) keepRight(now time.Time) {
-	if now.Sub(m.confirmed) >= m.cfg.Right/4 && !m.readDue.After(now) && m.writing == nil {
-		m.read(now, false)
-		m.readDue = now.Add(min(pollWait, m.cfg.Right/8))
-	}
-}
