Run a whole site in one process, and take a replaced upstream for ended again

Since the change for unanswered orders, a release that found another upstream at the address no longer counted as the end of the old one.

--- a/internal/oriolecli/cli.go
+++ b/internal/oriolecli/cli.go
@@ -48,6 +48,7 @@
 	parser.ShortDescription = "routes requests to servers that own keys exclusively"
 	add(parser, "run", "Run a gateway", &runCommand{env: env})
 	add(parser, "serve", "Run a gateway on a platform with a directory of upstreams", &serveCommand{env: env})
+	add(parser, "site", "Run a whole site of a platform in one process", &siteCommand{env: env})
 	add(parser, "check", "Check settings", &checkCommand{env: env})
 	add(parser, "capacity", "Measure how costs grow with sizes", &capacityCommand{env: env})
 	add(parser, "demo", "Run a whole system in one process", &demoCommand{env: env})
--- a/pkg/oriole/orioleassign/assign_test.go
+++ b/pkg/oriole/orioleassign/assign_test.go
@@ -266,3 +266,22 @@
 	l.Age(now.Add(time.Minute))
 	is.True(l.profile().of(40, 43) < 1) // forgotten
 }
+
+// TestReplacedUpstreamIsOver: when a release finds another upstream at the
+// address, the range goes to its next owner at once.
+func TestReplacedUpstreamIsOver(t *testing.T) {
+	is := is.New(t)
+	s := settledSim(t)
+	m := s.leader().machine
+	life := m.leases[0].Owner
+	m.calls[1000] = call{kind: orderRelease, life: life, first: 0, last: 10, fence: 1}
+	m.holder(life).releasing++
+	m.OrderDone(s.now, 1000, Result{Err: oriole.ErrReplaced})
+	is.True(m.over(life))
+	other := m.leases[len(m.leases)-1].Owner
+	m.calls[1001] = call{kind: orderRelease, life: other, first: 0, last: 10, fence: 1}
+	m.holder(other).releasing++
+	m.OrderDone(s.now, 1001, Result{Err: errTimeout})
+	is.True(!m.over(other)) // a release may wait for work
+	is.True(!m.holder(other).down)
+}
--- a/pkg/oriole/orioleassign/order.go
+++ b/pkg/oriole/orioleassign/order.go
@@ -349,10 +349,10 @@
 	case err == nil, errors.Is(err, oriole.ErrFenced):
 		h.failures, h.refused, h.unanswered, h.down = 0, 0, 0, false
 		return
-	case errors.Is(err, oriole.ErrReconnected), c.kind == orderRelease && sent(err):
-		return
 	case errors.Is(err, oriole.ErrReplaced):
 		h.refused = downAfter
+	case errors.Is(err, oriole.ErrReconnected), c.kind == orderRelease && sent(err):
+		return
 	case errors.Is(err, oriole.ErrUnreachable):
 		h.refused++
 		h.failures++
