Wait for the work that an earlier release waits for, and ignore old reads

Change: only the first release's answer proves the end of work; after another, the longest route timeout must pass. Reads older than a write are ignored.

--- a/pkg/oriole/orioleassign/lease.go
+++ b/pkg/oriole/orioleassign/lease.go
@@ -35,6 +35,11 @@
 	sent time.Time
 	due  time.Time
 	busy bool
+	// asked is when the first release may have reached it, or zero. A second one
+	// is answered while the work that the first waits for still runs: then it
+	// has freed the range, but holds it until that work has certainly ended.
+	asked time.Time
+	freed bool
 }
 
 // follow returns the leases of ranges, which replace the leases in old. What
@@ -48,9 +53,11 @@
 		}
 		l.givers = make([]giver, 0, len(r.Givers))
 		for _, life := range r.Givers {
-			g := giver{life: life, sent: unknown, due: now}
+			// An earlier leader may have asked it already.
+			g := giver{life: life, sent: unknown, due: now, asked: now}
 			if len(old) > 0 {
 				g.sent, _ = sentTo(old, r, life, time.Time{})
+				g.asked = askedOf(old, r, life)
 			}
 			l.givers = append(l.givers, g)
 		}
@@ -73,12 +80,29 @@
 	for i := range l.givers {
 		for _, g := range old.givers {
 			if g.life == l.givers[i].life {
-				l.givers[i].busy, l.givers[i].due = g.busy, g.due
+				l.givers[i].busy, l.givers[i].due, l.givers[i].freed = g.busy, g.due, g.freed
 			}
 		}
 	}
 }
 
+// askedOf returns the latest time at which any life of the upstream was first
+// asked to release points of the range, or zero.
+func askedOf(old []lease, r oriole.Range, life oriole.Life) (asked time.Time) {
+	for i := range old {
+		o := &old[i]
+		if o.Last < r.First || o.First > r.Last {
+			continue
+		}
+		for _, g := range o.givers {
+			if g.life.ID == life.ID && g.asked.After(asked) {
+				asked = g.asked
+			}
+		}
+	}
+	return asked
+}
+
 // sentTo returns the latest time at which a grant of any of the range's points
 // may have reached the life, and whether it holds them all by the grant of the
 // range's fence.
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -132,6 +132,8 @@
 	calls    map[CallID]call
 	lastCall CallID
 	load     Load
+	// longestWork bounds how long a request runs.
+	longestWork time.Duration
 }
 
 // holder is what the leader knows of one life of an upstream.
@@ -162,6 +164,8 @@
 	first oriole.Point
 	last  oriole.Point
 	fence oriole.Fence
+	// again says that a release is not the first.
+	again bool
 }
 
 type orderKind int
@@ -208,6 +212,7 @@
 		m.planDue = now
 	}
 	m.world = w
+	m.longestWork = longestWork(w.Config)
 	if a := w.Assignments[m.cfg.Service]; a != nil {
 		m.told(*a)
 	}
@@ -215,6 +220,28 @@
 	m.Tick(now)
 }
 
+// usualWork bounds how long a request runs where no configuration says.
+const usualWork = 2 * time.Second
+
+// workFlight is the time for which a request may have been on its way beyond its
+// route's timeout.
+const workFlight = 500 * time.Millisecond
+
+// longestWork returns how long a request runs at most: upstreams end it at the
+// deadline that they are given, which is within its route's timeout.
+func longestWork(cfg *oriole.Config) time.Duration {
+	longest := time.Duration(0)
+	if cfg != nil {
+		for _, r := range cfg.Routes {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	if longest == 0 {
+		longest = usualWork
+	}
+	return longest + workFlight
+}
+
 func sameLives(a, b []oriole.Upstream) bool {
 	return slices.EqualFunc(a, b, func(a, b oriole.Upstream) bool { return a.Life() == b.Life() && a.Addr == b.Addr })
 }
--- a/pkg/oriole/orioleassign/order.go
+++ b/pkg/oriole/orioleassign/order.go
@@ -93,7 +93,7 @@
 		for j := range l.givers {
 			// What was sent to an earlier life may have reached the next.
 			if next, found := m.successor(l.givers[j].life); found {
-				l.givers[j] = giver{life: next, sent: l.givers[j].sent, due: now}
+				l.givers[j] = giver{life: next, sent: l.givers[j].sent, due: now, asked: l.givers[j].asked}
 				changed = true
 			}
 		}
@@ -114,6 +114,9 @@
 	if next, found := m.successor(g.life); found && next == l.Owner {
 		return true
 	}
+	if g.freed && now.After(g.asked.Add(m.longestWork)) {
+		return true
+	}
 	h := m.holders[g.life]
 	return (h != nil && h.ended) || now.After(m.expiry(g.sent))
 }
@@ -153,7 +156,7 @@
 	for i := range l.givers {
 		g := &l.givers[i]
 		h := m.holder(g.life)
-		if g.busy || g.due.After(now) || h.releasing >= releasesAtOnce {
+		if g.busy || g.freed || g.due.After(now) || h.releasing >= releasesAtOnce {
 			continue
 		}
 		to, found := m.upstream(g.life)
@@ -163,6 +166,13 @@
 		g.busy = true
 		h.releasing++
 		order := m.order(orderRelease, to, *l)
+		if g.asked.IsZero() {
+			g.asked = now
+		} else {
+			c := m.calls[order.Call]
+			c.again = true
+			m.calls[order.Call] = c
+		}
 		m.out = append(m.out, Effect{Release: order})
 	}
 }
@@ -331,6 +341,12 @@
 		if r.Err != nil || !inside {
 			continue
 		}
+		if c.again {
+			for j := range l.givers {
+				l.givers[j].freed = l.givers[j].freed || l.givers[j].life == c.life
+			}
+			continue
+		}
 		n := len(l.givers)
 		l.givers = slices.DeleteFunc(l.givers, func(g giver) bool { return g.life == c.life })
 		if len(l.givers) < n {
--- a/pkg/oriole/orioleassign/store.go
+++ b/pkg/oriole/orioleassign/store.go
@@ -43,7 +43,8 @@
 		return
 	case m.leading && a.Term == m.stored.Term && a.Leader == m.cfg.Self:
 		m.confirm(now, started)
-		if m.exact && version == m.version {
+		if version < m.version || (m.exact && version == m.version) {
+			// Nothing new, or older than a write that was answered meanwhile.
 			return
 		}
 		// A write whose answer was lost has taken effect, or had none.
--- a/pkg/oriole/orioleassign/world_test.go
+++ b/pkg/oriole/orioleassign/world_test.go
@@ -522,12 +522,11 @@
 			}
 			srv.seen[i] = max(srv.seen[i], o.Lease.Fence)
 			if srv.until[i].After(s.now) {
+				// A second release does not wait for the work of the first.
 				srv.busy[i] = s.now.Add(work)
-			}
-			srv.until[i] = time.Time{}
-			if srv.busy[i].After(ends) {
 				ends = srv.busy[i]
 			}
+			srv.until[i] = time.Time{}
 		}
 		work = ends.Sub(s.now)
 		reply(work+s.delay(), done(Result{Handover: "h"}))
