Ownership: a new leader waits out its predecessor's moves

Change: a leader releases ranges and uses fencing tokens for the first time only within a move lease of 0.75 s from the start of the confirming call. A new leader calls no upstream until each prior leader has reported that it stopped, has ended, or the move lease and the call delay have passed. A gateway reports that it stopped once its calls have arrived; a call waits at most 1 s to be sent. Lease calls of an earlier run of the decide duty are not sent.

Found by the new adversarial simulation, and fixed, each with a test: - the response to a write of a resigned leader made it lead again, though its peers relied on its word that it stopped; - an unanswered release may be executed up to 12 s late, also after a change of leader: a release after it is not taken for the first one.

--- a/internal/oriolecapacity/measure.go
+++ b/internal/oriolecapacity/measure.go
@@ -228,7 +228,7 @@
 // leaseConfig holds the lease times that gateways use.
 var leaseConfig = orioleassign.Config{
 	Self: gatewayID, Service: service, LeaseTTL: 5 * time.Second, RenewInterval: 1800 * time.Millisecond,
-	LeaderLease: 20 * time.Second, MaxClockDrift: 0.02, MaxCallDelay: 500 * time.Millisecond,
+	LeaderLease: 20 * time.Second, MoveLease: 750 * time.Millisecond, MaxClockDrift: 0.02, MaxCallDelay: 500 * time.Millisecond,
 }
 
 func newLeader(upstreams int) *leader {
--- a/internal/oriolemessage/convert.go
+++ b/internal/oriolemessage/convert.go
@@ -177,6 +177,9 @@
 	for _, r := range a.Ranges {
 		m.Ranges = append(m.Ranges, fromRange(r))
 	}
+	for _, r := range a.PendingReleases {
+		m.PendingReleases = append(m.PendingReleases, PendingRelease{Server: string(r.Server), First: int(r.First), Last: int(r.Last)})
+	}
 	return m
 }
 
@@ -200,6 +203,14 @@
 		}
 		a.Ranges = append(a.Ranges, converted)
 	}
+	for _, r := range m.PendingReleases {
+		if !validBounds(r.First, r.Last) {
+			return a, errors.Wrap(ErrMalformed, "pending release: invalid bounds")
+		}
+		a.PendingReleases = append(a.PendingReleases, oriole.PendingRelease{
+			Server: oriole.ServerID(r.Server), First: oriole.ShardKey(r.First), Last: oriole.ShardKey(r.Last),
+		})
+	}
 	if a.Service == "" || !a.Valid() {
 		return a, errors.Wrap(ErrMalformed, "assignment: no service, or invalid ranges")
 	}
@@ -214,8 +225,12 @@
 	return converted
 }
 
+func validBounds(first, last int) bool {
+	return first >= 0 && first <= last && last <= int(oriole.MaxShardKey)
+}
+
 func (r Range) toRange() (converted oriole.Range, err error) {
-	if r.First < 0 || r.Last < r.First || r.Last > int(oriole.MaxShardKey) {
+	if !validBounds(r.First, r.Last) {
 		return converted, errors.Wrap(ErrMalformed, "range: invalid bounds")
 	}
 	converted = oriole.Range{
--- a/internal/oriolemessage/message_gen.go
+++ b/internal/oriolemessage/message_gen.go
@@ -17,6 +17,10 @@
 	// Ranges corresponds to the JSON schema field "ranges".
 	Ranges []Range `json:"ranges"`
 
+	// PendingReleases lists unanswered releases that upstreams may still execute.
+	// Gateways that publish an assignment leave it out.
+	PendingReleases []PendingRelease `json:"releases,omitempty"`
+
 	// Seq is the sequence number of the assignment within the term. The leader
 	// increments it with each change that it publishes.
 	Seq uint64 `json:"seq"`
@@ -315,6 +319,19 @@
 	Term uint64 `json:"term"`
 }
 
+// PendingRelease is an unanswered release that an upstream may still execute. Both
+// ends of its range are inclusive.
+type PendingRelease struct {
+	// First corresponds to the JSON schema field "first".
+	First int `json:"first"`
+
+	// Server is the ID of the upstream.
+	Server string `json:"id"`
+
+	// Last corresponds to the JSON schema field "last".
+	Last int `json:"last"`
+}
+
 // Range is a range of shard keys with one owner. Both ends are inclusive.
 type Range struct {
 	// Fence is the fencing token of the owner's lease.
--- a/internal/oriolerouter/orioleleader/leader.go
+++ b/internal/oriolerouter/orioleleader/leader.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -66,6 +67,9 @@
 	events    *oriolering.Ring[event]
 	leaseJobs *oriolering.Ring[leaseJob]
 	storeJobs *oriolering.Ring[storeJob]
+	// decideRun counts the starts of the decide duty. Lease calls that an earlier
+	// run requested are not sent.
+	decideRun atomic.Uint64
 
 	mu sync.Mutex
 	// minRenewTerms is the result of MinRenewTerms. The decide duty updates it.
@@ -80,8 +84,9 @@
 }
 
 type leaseJob struct {
-	service oriole.ServiceName
-	effect  orioleassign.Effect
+	service   oriole.ServiceName
+	effect    orioleassign.Effect
+	decideRun uint64
 }
 
 type storeJob struct {
@@ -179,6 +184,7 @@
 // leases only in their term or later.
 func (d *decideDuty) Serve(ctx context.Context) error {
 	l := d.leader
+	l.decideRun.Add(1)
 	d.machines = make(map[oriole.ServiceName]*orioleassign.Machine)
 	d.published = make(map[oriole.ServiceName]*oriole.Assignment)
 	changed := l.cfg.State.Subscribe()
@@ -236,7 +242,7 @@
 		case effect.Read != nil, effect.Write != nil:
 			_ = l.storeJobs.Put(ctx, storeJob{service, effect})
 		case effect.Grant != nil, effect.Release != nil, effect.Probe != nil:
-			_ = l.leaseJobs.Put(ctx, leaseJob{service, effect})
+			_ = l.leaseJobs.Put(ctx, leaseJob{service, effect, l.decideRun.Load()})
 		case effect.Publish != nil:
 			previous := d.published[service]
 			if previous == nil {
@@ -312,23 +318,26 @@
 		if err != nil {
 			return err
 		}
-		call, result := l.send(ctx, job.effect)
+		call, result := l.send(ctx, job)
 		l.enqueue(ctx, event{job.service, func(now time.Time, m *orioleassign.Machine) {
 			m.CallDone(now, call.ID, result)
 		}})
 	}
 }
 
-// send makes the lease call that the effect contains, and returns it with its
+// send makes the lease call that the job contains, and returns it with its
 // result.
-func (l *Leader) send(ctx context.Context, effect orioleassign.Effect) (call *orioleassign.LeaseCall, result orioleassign.Result) {
+func (l *Leader) send(ctx context.Context, job leaseJob) (call *orioleassign.LeaseCall, result orioleassign.Result) {
 	request := func(c *orioleassign.LeaseCall) oriole.LeaseRequest {
 		request := c.Lease
 		// The gateway may have been paused since the state machine requested the
 		// call, past the end of the leader's lease.
-		request.StillValid = func() bool { return l.cfg.Timers.Now().Before(c.SendBefore) }
+		request.StillValid = func() bool {
+			return l.cfg.Timers.Now().Before(c.SendBefore) && l.decideRun.Load() == job.decideRun
+		}
 		return request
 	}
+	effect := job.effect
 	switch {
 	case effect.Grant != nil:
 		call = effect.Grant
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -42,6 +42,11 @@
 	// soon after it reached the store, the keys of upstreams lost at the same
 	// time stay unavailable for this long.
 	leaderLease = 20 * time.Second
+	// moveLease is how long after the store confirmed its leadership a leader may
+	// move ranges. It is longer than a slow call to the store. Until it is over, a
+	// new leader renews no lease if its predecessor is unreachable, so that a
+	// renewal interval, the time to find the loss and this fit into leaseTTL.
+	moveLease = 750 * time.Millisecond
 	// maxClockDrift is how much slower than the gateway's clock an upstream's may
 	// run, as a fraction. The platform specifies it.
 	maxClockDrift = 0.02
@@ -163,7 +168,7 @@
 		Self: r.self.ID, State: r.tracker, Store: r.platform.Directory, Leaser: r.platform.Leaser,
 		Timers: orioletimer.NewBootClock(r.timers), Metrics: r.metrics, Log: r.log, Publish: r.publishAssignment,
 		LeaseTimes: orioleassign.Config{
-			LeaseTTL: leaseTTL, RenewInterval: renewInterval, LeaderLease: leaderLease, MaxClockDrift: maxClockDrift, MaxCallDelay: maxCallDelay,
+			LeaseTTL: leaseTTL, RenewInterval: renewInterval, LeaderLease: leaderLease, MoveLease: moveLease, MaxClockDrift: maxClockDrift, MaxCallDelay: maxCallDelay,
 		},
 	}, spec)
 	r.forwarder = orioleingress.NewForwarder(orioleingress.ForwarderConfig{
--- a/internal/oriolesoak/faults.go
+++ b/internal/oriolesoak/faults.go
@@ -31,6 +31,7 @@
 	{"evacuate zone", true, evacuateZone},
 	{"kill", false, killGateway},
 	{"kill all gateways", false, killAllGateways},
+	{"kill all gateways twice", false, killAllGatewaysTwice},
 	{"pause", false, pauseGateway},
 	{"crash", false, crashUpstream},
 	{"crash and restart at once", false, func(h *harness) error { return crashUpstreamFor(h, 0) }},
@@ -92,18 +93,37 @@
 
 // killAllGateways kills all gateways, and restarts them after a random time.
 func killAllGateways(h *harness) error {
+	return h.killAllGateways(1)
+}
+
+// killAllGatewaysTwice kills the gateways again while they elect leaders, when
+// terms start shortly after each other.
+func killAllGatewaysTwice(h *harness) error {
+	return h.killAllGateways(2)
+}
+
+// killAllGateways kills and restarts all gateways the given number of times,
+// within two seconds of each other.
+func (h *harness) killAllGateways(times int) error {
 	for _, v := range h.vms {
 		defer v.lockLifecycle()()
 	}
-	h.log("kill all gateways")
-	for _, v := range h.vms {
-		v.signal(syscall.SIGKILL)
-	}
-	time.Sleep(h.randomDuration(100*time.Millisecond, 2*time.Second))
-	for _, v := range h.vms {
-		v.wait(gracePeriod)
-		if err := h.runDir.startGateway(v); err != nil {
-			return err
+	for i := range times {
+		if i > 0 {
+			time.Sleep(h.randomDuration(600*time.Millisecond, 1600*time.Millisecond))
+		}
+		h.log("kill all gateways")
+		for _, v := range h.vms {
+			v.signal(syscall.SIGKILL)
+		}
+		if i == times-1 {
+			time.Sleep(h.randomDuration(100*time.Millisecond, 2*time.Second))
+		}
+		for _, v := range h.vms {
+			v.wait(gracePeriod)
+			if err := h.runDir.startGateway(v); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
--- a/pkg/oriole/assignment.go
+++ b/pkg/oriole/assignment.go
@@ -51,6 +51,23 @@
 	Seq uint64
 	// Ranges are sorted and cover every shard key exactly once.
 	Ranges []Range
+	// PendingReleases lists unanswered releases that upstreams may still execute.
+	// It is stored for the next leader and not part of patches.
+	PendingReleases []PendingRelease
+}
+
+// PendingRelease is a release of a range that was sent to an upstream and not
+// answered. The upstream may execute it seconds later, even if it was granted
+// the range again in the meantime. Both ends are inclusive.
+type PendingRelease struct {
+	Server ServerID
+	First  ShardKey
+	Last   ShardKey
+}
+
+// Covers reports whether the release is for keys of the range at the upstream.
+func (p PendingRelease) Covers(server ServerID, first, last ShardKey) bool {
+	return p.Server == server && p.First <= last && first <= p.Last
 }
 
 // Find returns the range that contains key, or nil if no ranges have been
@@ -87,6 +104,7 @@
 // Clone returns a deep copy.
 func (a Assignment) Clone() Assignment {
 	a.PriorLeaders = slices.Clone(a.PriorLeaders)
+	a.PendingReleases = slices.Clone(a.PendingReleases)
 	a.Ranges = slices.Clone(a.Ranges)
 	for i := range a.Ranges {
 		a.Ranges[i].PriorOwners = slices.Clone(a.Ranges[i].PriorOwners)
--- a/pkg/oriole/orioleassign/assign_test.go
+++ b/pkg/oriole/orioleassign/assign_test.go
@@ -87,42 +87,66 @@
 		s.cutLinks[pair], s.cutLinks[back] = true, true
 		s.schedule(span, func() { delete(s.cutLinks, pair); delete(s.cutLinks, back); s.publishState() })
 	case 10:
-		s.log("all gateways are killed")
-		for _, g := range s.gateways {
-			g.down = true
-			s.schedule(time.Second, func() { s.startGateway(g) })
-		}
+		s.killAllGateways()
 	}
 	s.schedule(time.Duration(300+s.rng.IntN(900))*time.Millisecond, s.publishState)
 }
 
-// TestOneOwnerUnderFaults checks that under random faults no key has two owners
-// and the fencing tokens of each key only grow, and that every key has an owner
-// again once the faults have ended.
-func TestOneOwnerUnderFaults(t *testing.T) {
-	for seed := range seeds(t, 60) {
-		s := newSim(seed, 3, 5, 0.08)
-		s.run(4 * time.Second)
-		for range 25 {
-			for range s.rng.IntN(40) {
-				g := s.gateways[s.rng.IntN(len(s.gateways))]
-				g.machine.AddLoad(s.rng.IntN(buckets), 5)
-			}
-			s.injectFault()
-			s.run(time.Duration(s.rng.IntN(3000)) * time.Millisecond)
-		}
-		s.run(12 * time.Second)
-		s.faultRate = 0
-		s.run(40 * time.Second)
-		if s.violation != "" {
-			s.fail(t, seed, s.violation)
-		}
-		if n := s.unowned(); n > 0 {
-			s.fail(t, seed, fmt.Sprintf("%d of %d sampled keys have no owner at the end", n, sampleCount))
+// runFaults runs the simulation under random faults, and fails the test if any
+// key has two owners or a fencing token that does not grow, or if a key has no
+// owner once the faults have ended.
+func runFaults(t *testing.T, seed uint64, options ...func(*sim)) {
+	t.Helper()
+	s := newSim(seed, 3, 5, 0.08, options...)
+	s.run(4 * time.Second)
+	for range 25 {
+		for range s.rng.IntN(40) {
+			g := s.gateways[s.rng.IntN(len(s.gateways))]
+			g.machine.AddLoad(s.rng.IntN(buckets), 5)
 		}
+		s.injectFault()
+		s.injectLeaderFault()
+		s.run(time.Duration(s.rng.IntN(3000)) * time.Millisecond)
+	}
+	s.run(12 * time.Second)
+	s.faultRate, s.late = 0, nil
+	s.run(40 * time.Second)
+	if s.violation != "" {
+		s.fail(t, seed, s.violation)
+	}
+	if n := s.unowned(); n > 0 {
+		s.fail(t, seed, fmt.Sprintf("%d of %d sampled keys have no owner at the end", n, sampleCount))
 	}
 }
 
+// ownerSeeds is the number of seeds that the tests of ownership run with.
+const ownerSeeds = 120
+
+// forEachSeed runs the test with each seed, several at once.
+func forEachSeed(t *testing.T, run func(*testing.T, uint64)) {
+	t.Helper()
+	for seed := range seeds(t, ownerSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			run(t, seed)
+		})
+	}
+}
+
+// TestOneOwnerUnderFaults checks that under random faults no key has two owners.
+// In seeds 69 and, with another choice of moves, 45, a leader that had just been
+// replaced took the response to its release as proof that no request was
+// running, although its successor had released the range before.
+func TestOneOwnerUnderFaults(t *testing.T) {
+	forEachSeed(t, func(t *testing.T, seed uint64) { runFaults(t, seed) })
+}
+
+// TestOneOwnerWithAnyMoves checks the same for arbitrary moves of ranges, with
+// calls and responses of the store that are late.
+func TestOneOwnerWithAnyMoves(t *testing.T) {
+	forEachSeed(t, func(t *testing.T, seed uint64) { runFaults(t, seed, withLateFaults(seed)) })
+}
+
 // newSettledSim returns a simulation in which all keys have owners.
 func newSettledSim(t *testing.T) *sim {
 	t.Helper()
--- a/pkg/oriole/orioleassign/call.go
+++ b/pkg/oriole/orioleassign/call.go
@@ -13,14 +13,6 @@
 // each of which waits for running requests to end.
 const maxConcurrentReleases = 4
 
-// maxConfirmationAge is the maximum age of the store's confirmation of the
-// leadership when a fencing token is used for the first time, not counting the
-// time that the store took to respond. A short age limits the time in which a
-// leader that has just been replaced can still use new fencing tokens. It
-// rarely costs a read, since most are used right after the write that
-// introduced them.
-const maxConfirmationAge = 150 * time.Millisecond
-
 // holdsLeadership reports whether the leader's lease is still valid, so that it
 // may call upstreams.
 func (m *Machine) holdsLeadership(now time.Time) bool {
@@ -73,7 +65,7 @@
 
 // sendCalls requests the calls that are due.
 func (m *Machine) sendCalls(now time.Time) {
-	if !m.holdsLeadership(now) {
+	if !m.mayCall(now) {
 		return
 	}
 	if m.dropPriorOwners(now) {
@@ -96,13 +88,7 @@
 		n := len(l.priorOwners)
 		l.priorOwners = slices.DeleteFunc(l.priorOwners, func(p priorOwner) bool { return m.canDrop(now, l, p) })
 		changed := len(l.priorOwners) < n
-		for j := range l.priorOwners {
-			// A call to an earlier incarnation may have reached the next one.
-			if next, found := m.successor(l.priorOwners[j].incarnation); found {
-				l.priorOwners[j] = priorOwner{incarnation: next, lastSent: l.priorOwners[j].lastSent, nextRelease: now, firstRelease: l.priorOwners[j].firstRelease}
-				changed = true
-			}
-		}
+		changed = m.replaceRestarted(now, l) || changed
 		if changed {
 			m.priorOwnersChanged(now, l)
 			changedAny = true
@@ -111,6 +97,29 @@
 	return changedAny
 }
 
+// replaceRestarted replaces the prior owners that have restarted by their
+// successors, since a call to one may have reached the other. It reports whether
+// there were any.
+func (m *Machine) replaceRestarted(now time.Time, l *lease) bool {
+	replaced := false
+	owners := l.priorOwners[:0:0]
+	for _, p := range l.priorOwners {
+		if next, found := m.successor(p.incarnation); found {
+			p = priorOwner{incarnation: next, lastSent: p.lastSent, nextRelease: now, releaseSent: p.releaseSent}
+			replaced = true
+		}
+		i := slices.IndexFunc(owners, func(o priorOwner) bool { return o.incarnation == p.incarnation })
+		if i < 0 {
+			owners = append(owners, p)
+			continue
+		}
+		owners[i].lastSent = later(owners[i].lastSent, p.lastSent)
+		owners[i].releaseSent = owners[i].releaseSent || p.releaseSent
+	}
+	l.priorOwners = owners
+	return replaced
+}
+
 // canDrop reports whether the prior owner certainly holds no lease on keys of
 // l, or has been replaced by the incarnation that owns l.
 func (m *Machine) canDrop(now time.Time, l *lease, p priorOwner) bool {
@@ -120,11 +129,16 @@
 	if next, found := m.successor(p.incarnation); found && next == l.Owner {
 		return true
 	}
-	if p.released && now.After(p.firstRelease.Add(m.maxRequestDuration)) {
+	if !p.repeatAnswered.IsZero() && now.After(p.repeatAnswered.Add(m.maxRequestDuration)) {
 		return true
 	}
+	if now.After(m.leaseExpiry(p.lastSent)) {
+		return true
+	}
+	// A grant that was under way when the incarnation ended may have reached the
+	// next one.
 	st := m.upstreams[p.incarnation]
-	return (st != nil && st.ended) || now.After(m.leaseExpiry(p.lastSent))
+	return st != nil && st.ended && !m.lastGrantDone[p.incarnation.ID].After(st.endedAt)
 }
 
 // priorOwnersChanged copies the lease's remaining prior owners to the
@@ -164,19 +178,18 @@
 	for i := range l.priorOwners {
 		p := &l.priorOwners[i]
 		st := m.status(p.incarnation)
-		if p.releaseInFlight || p.released || p.nextRelease.After(now) || st.releasing >= maxConcurrentReleases {
+		if p.releaseInFlight || !p.repeatAnswered.IsZero() || p.nextRelease.After(now) || st.releasing >= maxConcurrentReleases {
 			continue
 		}
 		to, found := m.upstream(p.incarnation)
-		if !found {
+		if !found || m.releaseInFlight(p.incarnation.ID, l.First, l.Last) || !m.mayMove(now) {
 			continue
 		}
-		p.releaseInFlight = true
+		repeated := p.releaseSent || m.releaseMayBePending(p.incarnation.ID, l.First, l.Last)
+		p.releaseInFlight, p.releaseSent = true, true
 		st.releasing++
-		release := m.newCall(callRelease, to, *l)
-		if p.firstRelease.IsZero() {
-			p.firstRelease = now
-		} else {
+		release := m.newCall(callRelease, to, *l, m.confirmedAt.Add(m.cfg.MoveLease))
+		if repeated {
 			c := m.calls[release.ID]
 			c.repeated = true
 			m.calls[release.ID] = c
@@ -207,16 +220,17 @@
 		if !found {
 			continue
 		}
-		if !l.attempted && now.Sub(m.confirmedAt) > maxConfirmationAge+m.confirmLatency {
-			// The leadership must be confirmed before a fencing token is first
-			// used: if this leader has been replaced, an owner that has
-			// restarted since the new leader's grant would accept the lower
-			// fencing token.
-			m.startRead(now, false)
-			continue
+		sendBefore := earlier(now.Add(maxCallWait), m.confirmedAt.Add(m.cfg.LeaderLease))
+		if !l.attempted {
+			// An owner that has restarted since a new leader granted it the range
+			// would accept this lower fencing token.
+			if !m.mayMove(now) {
+				continue
+			}
+			sendBefore = m.confirmedAt.Add(m.cfg.MoveLease)
 		}
 		m.status(l.Owner).granting = true
-		grant := m.newCall(callGrant, to, *l)
+		grant := m.newCall(callGrant, to, *l, sendBefore)
 		grant.Lease.TTL = m.cfg.LeaseTTL
 		grant.Lease.Handover = l.handover
 		grant.Lease.Conn = l.conn
@@ -233,7 +247,7 @@
 			continue
 		}
 		st.probing = true
-		m.effects = append(m.effects, Effect{Probe: m.newCall(callProbe, u, lease{})})
+		m.effects = append(m.effects, Effect{Probe: m.newCall(callProbe, u, lease{}, now.Add(maxCallWait))})
 	}
 }
 
@@ -241,20 +255,30 @@
 	return slices.ContainsFunc(m.leases, func(l lease) bool { return l.Owner == incarnation })
 }
 
-func (m *Machine) newCall(kind callKind, to oriole.Upstream, l lease) *LeaseCall {
+func (m *Machine) newCall(kind callKind, to oriole.Upstream, l lease, sendBefore time.Time) *LeaseCall {
 	m.lastCall++
-	m.calls[m.lastCall] = call{kind: kind, incarnation: to.Incarnation(), first: l.First, last: l.Last, fence: l.Fence}
+	m.calls[m.lastCall] = call{
+		kind: kind, incarnation: to.Incarnation(), first: l.First, last: l.Last, fence: l.Fence,
+		term: m.current.Term, arrivesBefore: sendBefore.Add(m.cfg.MaxCallDelay),
+	}
 	return &LeaseCall{
 		ID:         m.lastCall,
 		To:         to,
 		Lease:      oriole.LeaseRequest{First: l.First, Last: l.Last, Fence: l.Fence},
-		SendBefore: m.confirmedAt.Add(m.cfg.LeaderLease),
+		SendBefore: sendBefore,
 	}
 }
 
 // CallDone handles the result of a call to an upstream.
 func (m *Machine) CallDone(now time.Time, id CallID, r Result) {
 	c, found := m.calls[id]
+	if ended, ok := m.endedTermCalls[id]; ok {
+		c = ended
+		delete(m.endedTermCalls, id)
+	}
+	if c.kind == callRelease && r.Err != nil && mayHaveArrived(r.Err) {
+		m.recordUnanswered(now, c.pendingRelease())
+	}
 	if !found {
 		return
 	}
@@ -315,12 +339,15 @@
 // grantDone updates the leases with the result of a grant. The ranges may have
 // changed since the grant was sent.
 func (m *Machine) grantDone(now time.Time, c call, r Result) {
+	mayHold := mayHaveArrived(r.Err)
+	if mayHold {
+		m.lastGrantDone[c.incarnation.ID] = now
+	}
 	for i := range m.leases {
 		l := &m.leases[i]
 		if l.Last < c.first || c.last < l.First {
 			continue
 		}
-		mayHold := mayHaveArrived(r.Err)
 		for j := range l.priorOwners {
 			if l.priorOwners[j].incarnation.ID == c.incarnation.ID && mayHold {
 				l.priorOwners[j].lastSent = later(l.priorOwners[j].lastSent, now)
@@ -378,7 +405,9 @@
 		}
 		if c.repeated {
 			for j := range l.priorOwners {
-				l.priorOwners[j].released = l.priorOwners[j].released || l.priorOwners[j].incarnation == c.incarnation
+				if p := &l.priorOwners[j]; p.incarnation == c.incarnation && p.repeatAnswered.IsZero() {
+					p.repeatAnswered = now
+				}
 			}
 			continue
 		}
@@ -418,7 +447,7 @@
 		st.unanswered++
 	}
 	if st.refusals >= downThreshold && !st.ended {
-		st.ended = true
+		st.ended, st.endedAt = true, now
 		m.log("ended", LogEvent{Server: c.incarnation.ID, Detail: err.Error()})
 	}
 	if st.connectFailures >= downThreshold || (st.unanswered > downThreshold && now.Sub(st.unansweredSince) >= unansweredTimeout) {
--- a/pkg/oriole/orioleassign/effect.go
+++ b/pkg/oriole/orioleassign/effect.go
@@ -40,7 +40,7 @@
 	ID    CallID
 	To    oriole.Upstream
 	Lease oriole.LeaseRequest
-	// SendBefore is when the leader lease ends; the call must be sent before.
+	// SendBefore is the time before which the call must be sent.
 	SendBefore time.Time
 }
 
--- a/pkg/oriole/orioleassign/leadership.go
+++ b/pkg/oriole/orioleassign/leadership.go
@@ -8,9 +8,12 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleplacement"
 )
 
-// MinRenewTerm returns the lowest term in which this gateway may still renew
-// leases.
+// MinRenewTerm returns the lowest term in which calls of this gateway may still
+// arrive at upstreams.
 func (m *Machine) MinRenewTerm() uint64 {
+	if len(m.endedTermCalls) > 0 {
+		return m.lowestEndedTerm()
+	}
 	if m.draining || (m.current.Leader == m.cfg.Self && m.resignedTerm == m.current.Term) {
 		return m.current.Term + 1
 	}
@@ -63,8 +66,9 @@
 	m.leases = nil
 	m.leaderGoneSince = time.Time{}
 	clear(m.priorLeaders)
-	clear(m.calls)
+	m.endCalls()
 	clear(m.upstreams)
+	clear(m.lastGrantDone)
 }
 
 // becomeLeader starts a term that the store has confirmed.
@@ -76,7 +80,8 @@
 	m.nextPlan = now
 	clear(m.priorLeaders)
 	clear(m.upstreams)
-	clear(m.calls)
+	clear(m.lastGrantDone)
+	m.endCalls()
 	for _, g := range a.PriorLeaders {
 		m.priorLeaders[g] = true
 	}
@@ -84,6 +89,11 @@
 	if len(m.priorLeaders) > 0 {
 		m.priorLeadersUntil = now.Add(m.cfg.LeaderLease)
 	}
+	m.actFrom = now
+	if len(m.priorLeaders) > 0 || len(m.endedTermCalls) > 0 {
+		m.actFrom = now.Add(m.takeoverDelay())
+	}
+	m.recordReleasesOfPriorLeaders(now, a)
 	m.leases = carryLeases(nil, a.Ranges, m.priorLeadersUntil, now)
 	m.log("lead", LogEvent{Fence: a.Fence, Detail: "term started"})
 	m.dropPriorLeaders(now, nil)
--- a/pkg/oriole/orioleassign/lease.go
+++ b/pkg/oriole/orioleassign/lease.go
@@ -1,6 +1,7 @@
 package orioleassign
 
 import (
+	"slices"
 	"time"
 
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
@@ -40,13 +41,12 @@
 	lastSent        time.Time
 	nextRelease     time.Time
 	releaseInFlight bool
-	// firstRelease is when the first release call was sent, or may have been
-	// sent by a prior leader, or zero. Another release call can succeed while
-	// requests that the first one waits for are still running. released is then
-	// set, but the range counts as held until those requests have certainly
-	// ended.
-	firstRelease time.Time
-	released     bool
+	// releaseSent is set if a release was sent, or may have been sent by a prior
+	// leader. Another release can be answered while requests are running that
+	// the first one waits for: the range counts as held until maxRequestDuration
+	// after repeatAnswered, when such a release was answered.
+	releaseSent    bool
+	repeatAnswered time.Time
 }
 
 // carryLeases returns the leases of the ranges, which replace the old leases.
@@ -63,10 +63,10 @@
 		l.priorOwners = make([]priorOwner, 0, len(r.PriorOwners))
 		for _, incarnation := range r.PriorOwners {
 			// A prior leader may have sent a release already.
-			p := priorOwner{incarnation: incarnation, lastSent: assumedSent, nextRelease: now, firstRelease: now}
+			p := priorOwner{incarnation: incarnation, lastSent: assumedSent, nextRelease: now, releaseSent: true}
 			if len(old) > 0 {
 				p.lastSent, _ = lastGrantTo(old, r, incarnation, time.Time{})
-				p.firstRelease = firstReleaseTo(old, r, incarnation)
+				p.releaseSent = releaseSentTo(old, r, incarnation)
 			}
 			l.priorOwners = append(l.priorOwners, p)
 		}
@@ -89,28 +89,25 @@
 	for i := range l.priorOwners {
 		for _, p := range old.priorOwners {
 			if p.incarnation == l.priorOwners[i].incarnation {
-				l.priorOwners[i].releaseInFlight, l.priorOwners[i].nextRelease, l.priorOwners[i].released = p.releaseInFlight, p.nextRelease, p.released
+				l.priorOwners[i].releaseInFlight, l.priorOwners[i].nextRelease, l.priorOwners[i].repeatAnswered = p.releaseInFlight, p.nextRelease, p.repeatAnswered
 			}
 		}
 	}
 }
 
-// firstReleaseTo returns when the first release call for keys of the range was
-// sent to any incarnation of the upstream, or zero if none was. If the old
-// leases differ, it returns the latest of their times.
-func firstReleaseTo(old []lease, r oriole.Range, to oriole.Incarnation) (sent time.Time) {
+// releaseSentTo reports whether a release of keys of the range was sent to any
+// incarnation of the upstream.
+func releaseSentTo(old []lease, r oriole.Range, to oriole.Incarnation) bool {
 	for i := range old {
 		prev := &old[i]
 		if prev.Last < r.First || prev.First > r.Last {
 			continue
 		}
-		for _, p := range prev.priorOwners {
-			if p.incarnation.ID == to.ID && p.firstRelease.After(sent) {
-				sent = p.firstRelease
-			}
+		if slices.ContainsFunc(prev.priorOwners, func(p priorOwner) bool { return p.incarnation.ID == to.ID && p.releaseSent }) {
+			return true
 		}
 	}
-	return sent
+	return false
 }
 
 // lastGrantTo returns the latest time at which a grant for any key of the range
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -18,6 +18,10 @@
 	// LeaderLease is how long a leader may act after the store last confirmed its
 	// leadership.
 	LeaderLease time.Duration
+	// MoveLease is how long after the store last confirmed its leadership a leader
+	// may move ranges: release them, and use fencing tokens for the first time. A
+	// new leader calls no upstream while a prior leader may still do so.
+	MoveLease time.Duration
 	// MaxClockDrift is the maximum relative amount by which one clock runs
 	// slower than another.
 	MaxClockDrift float64
@@ -45,6 +49,9 @@
 	writeRetryDelay = 300 * time.Millisecond
 	// readRetryDelay is the delay after a failed read.
 	readRetryDelay = time.Second
+	// confirmRetryDelay is the delay after a failed read before the leadership is
+	// confirmed again for a move.
+	confirmRetryDelay = 300 * time.Millisecond
 	// planInterval is the minimum time between two plans that move load, so
 	// that the effect of one is measured before the next.
 	planInterval = 400 * time.Millisecond
@@ -122,13 +129,15 @@
 	// leaderGoneSince is when the leader was first found to be gone, or zero.
 	leaderGoneSince time.Time
 	draining        bool
+	// nextConfirm is when a read that confirms the leadership for a move may next
+	// be started.
+	nextConfirm time.Time
 
 	leading bool
 	// confirmedAt is when the call was started by which the store last
-	// confirmed the leadership, confirmLatency how long that call took.
-	confirmedAt    time.Time
-	confirmLatency time.Duration
-	nextPlan       time.Time
+	// confirmed the leadership.
+	confirmedAt time.Time
+	nextPlan    time.Time
 	// nextRefence is when unusable fencing tokens may next be replaced.
 	nextRefence time.Time
 	// lastSeq is the highest sequence number used in this term. dirty is set if
@@ -139,11 +148,24 @@
 	// priorLeadersUntil the time until which they may.
 	priorLeaders      map[oriole.GatewayID]bool
 	priorLeadersUntil time.Time
-	leases            []lease
-	upstreams         map[oriole.Incarnation]*upstreamStatus
-	calls             map[CallID]call
-	lastCall          CallID
-	load              Load
+	// actFrom is when this leader may call upstreams although prior leaders have
+	// not reported that they stopped, see [Config].MoveLease.
+	actFrom   time.Time
+	leases    []lease
+	upstreams map[oriole.Incarnation]*upstreamStatus
+	calls     map[CallID]call
+	lastCall  CallID
+	// lastGrantDone is when a grant to any incarnation of an upstream was last
+	// answered or given up, if it may have arrived.
+	lastGrantDone map[oriole.ServerID]time.Time
+	// endedTermCalls holds the unanswered calls of terms in which this gateway no
+	// longer leads, and unansweredReleases the releases that may still be
+	// executed.
+	endedTermCalls     map[CallID]call
+	unansweredReleases []unansweredRelease
+	load               Load
+	// proposeMoves moves ranges to balance the load.
+	proposeMoves func(*balancer)
 	// maxRequestDuration is the maximum time that a request runs on an
 	// upstream.
 	maxRequestDuration time.Duration
@@ -166,8 +188,10 @@
 	down            bool
 	nextProbe       time.Time
 	probedAt        time.Time
-	// ended is set if this incarnation has certainly ended.
-	ended bool
+	// ended is set if this incarnation has certainly ended, which was found out
+	// at endedAt.
+	ended   bool
+	endedAt time.Time
 	// requestDuration is the mean duration of requests, or 0 if unknown.
 	requestDuration time.Duration
 }
@@ -179,6 +203,9 @@
 	first       oriole.ShardKey
 	last        oriole.ShardKey
 	fence       oriole.Fence
+	term        uint64
+	// arrivesBefore is when the call has certainly arrived, if it ever will.
+	arrivesBefore time.Time
 	// repeated is set for a release that may not be the first one to the prior
 	// owner for these keys.
 	repeated bool
@@ -195,11 +222,14 @@
 // New returns a machine without any state.
 func New(cfg Config) *Machine {
 	return &Machine{
-		cfg:          cfg,
-		state:        oriole.NewClusterState(),
-		priorLeaders: make(map[oriole.GatewayID]bool),
-		upstreams:    make(map[oriole.Incarnation]*upstreamStatus),
-		calls:        make(map[CallID]call),
+		cfg:            cfg,
+		state:          oriole.NewClusterState(),
+		priorLeaders:   make(map[oriole.GatewayID]bool),
+		upstreams:      make(map[oriole.Incarnation]*upstreamStatus),
+		calls:          make(map[CallID]call),
+		lastGrantDone:  make(map[oriole.ServerID]time.Time),
+		endedTermCalls: make(map[CallID]call),
+		proposeMoves:   func(b *balancer) { b.balance() },
 	}
 }
 
@@ -280,6 +310,7 @@
 
 // Tick performs the actions that are due.
 func (m *Machine) Tick(now time.Time) {
+	m.forgetArrivedCalls(now)
 	if m.draining {
 		return
 	}
--- a/pkg/oriole/orioleassign/plan.go
+++ b/pkg/oriole/orioleassign/plan.go
@@ -77,7 +77,7 @@
 	}
 	if due {
 		m.nextPlan = now.Add(planInterval)
-		b.balance()
+		m.proposeMoves(b)
 	}
 	changed := b != nil && b.changed
 	if !changed && !m.dirty {
@@ -95,6 +95,7 @@
 		}
 	}
 	next.PriorLeaders = m.remainingPriorLeaders()
+	next.PendingReleases = m.pendingReleases()
 	m.lastSeq++
 	next.Seq = m.lastSeq
 	m.dirty = false
--- a/pkg/oriole/orioleassign/sim_test.go
+++ b/pkg/oriole/orioleassign/sim_test.go
@@ -28,7 +28,9 @@
 	// faultRate is the share of messages that are lost, delayed or not
 	// answered.
 	faultRate float64
-	cutLinks  map[[2]string]bool
+	// late holds the faults of calls and store responses that are late, or nil.
+	late     *lateFaults
+	cutLinks map[[2]string]bool
 	// highestFence is the highest fencing token with which each key was held,
 	// and holder the incarnation that held it.
 	highestFence [sampleCount]oriole.Fence
@@ -79,11 +81,11 @@
 }
 
 var simConfig = Config{
-	Service: "s", LeaseTTL: 5 * time.Second, RenewInterval: 1800 * time.Millisecond, LeaderLease: 20 * time.Second,
+	Service: "s", LeaseTTL: 5 * time.Second, RenewInterval: 1800 * time.Millisecond, LeaderLease: 20 * time.Second, MoveLease: 750 * time.Millisecond,
 	MaxClockDrift: 0.02, MaxCallDelay: 500 * time.Millisecond,
 }
 
-func newSim(seed uint64, gateways, servers int, faultRate float64) *sim {
+func newSim(seed uint64, gateways, servers int, faultRate float64, options ...func(*sim)) *sim {
 	s := &sim{
 		clock:     oriolesim.NewClock(time.Unix(1_000_000, 0)),
 		rng:       rand.New(rand.NewPCG(seed, 1)),
@@ -91,6 +93,9 @@
 		cutLinks:  make(map[[2]string]bool),
 		store:     simStore{unreachableFrom: make(map[string]bool)},
 	}
+	for _, option := range options {
+		option(s)
+	}
 	for i := range servers {
 		srv := &simServer{id: oriole.ServerID(fmt.Sprintf("srv%d", i)), clockSlowdown: s.rng.Float64() * simConfig.MaxClockDrift}
 		s.servers = append(s.servers, srv)
@@ -163,6 +168,9 @@
 	cfg := simConfig
 	cfg.Self = g.id
 	g.machine = New(cfg)
+	if s.late != nil {
+		g.machine.proposeMoves = s.moveAnything
+	}
 	run := g.runs
 	var tick func()
 	tick = func() {
@@ -268,9 +276,9 @@
 		case e.Write != nil:
 			s.write(g, *e.Write, reply)
 		case e.Grant != nil:
-			s.grant(g, *e.Grant, reply)
+			s.send(g, "grant", *e.Grant, reply, s.grant)
 		case e.Release != nil:
-			s.release(g, *e.Release, reply)
+			s.send(g, "release", *e.Release, reply, s.release)
 		case e.Probe != nil:
 			s.probe(g, *e.Probe, reply)
 		case e.Publish != nil:
@@ -308,6 +316,7 @@
 
 func (s *sim) read(g *simGateway, stale bool, reply func(time.Duration, func())) {
 	started := s.clock.Now()
+	reply = s.lateResponse(reply)
 	if s.store.down || s.store.unreachableFrom[g.name] || s.rng.Float64() < s.faultRate {
 		reply(200*time.Millisecond, func() { g.machine.ReadDone(s.clock.Now(), started, oriole.Assignment{}, 0, stale, errTimeout) })
 		return
@@ -325,6 +334,7 @@
 // response, or seconds later.
 func (s *sim) write(g *simGateway, w Write, reply func(time.Duration, func())) {
 	started := s.clock.Now()
+	reply = s.lateResponse(reply)
 	done := func(version oriole.Version, err error) func() {
 		return func() { g.machine.WriteDone(s.clock.Now(), started, w.Assignment.Clone(), version, err) }
 	}
@@ -387,10 +397,6 @@
 
 func (s *sim) grant(g *simGateway, call LeaseCall, reply func(time.Duration, func())) {
 	done := func(r Result) func() { return func() { g.machine.CallDone(s.clock.Now(), call.ID, r) } }
-	if !s.clock.Now().Before(call.SendBefore) {
-		reply(0, done(Result{Err: oriole.ErrNotSent}))
-		return
-	}
 	srv, conn, err := s.connect(g, call.To, call.Lease.Conn)
 	if err != nil {
 		reply(s.delay(), done(Result{Err: err}))
@@ -485,6 +491,7 @@
 		return
 	}
 	if s.rng.Float64() < s.faultRate {
+		s.executeLate(srv, call.Lease)
 		reply(time.Second, done(Result{Err: errTimeout}))
 		return
 	}
@@ -494,26 +501,30 @@
 			reply(time.Second, done(Result{Err: errTimeout}))
 			return
 		}
-		work := time.Duration(s.rng.IntN(300)) * time.Millisecond
-		ends := s.clock.Now()
-		for i := range sampleCount {
-			if call.Lease.First > sampleKey(i) || sampleKey(i) > call.Lease.Last {
-				continue
-			}
-			srv.seenFence[i] = max(srv.seenFence[i], call.Lease.Fence)
-			if srv.leaseUntil[i].After(s.clock.Now()) {
-				// A second release does not wait for the requests that the
-				// first waits for.
-				srv.busyUntil[i] = s.clock.Now().Add(work)
-				ends = srv.busyUntil[i]
-			}
-			srv.leaseUntil[i] = time.Time{}
-		}
-		work = ends.Sub(s.clock.Now())
+		work := s.applyRelease(srv, call.Lease, time.Duration(s.rng.IntN(300))*time.Millisecond)
 		reply(work+s.delay(), done(Result{Handover: "h"}))
 	})
 }
 
+// applyRelease simulates a server that receives a release while requests run for
+// the given time, and returns when it answers. A second release does not wait
+// for the requests that the first waits for.
+func (s *sim) applyRelease(srv *simServer, r oriole.LeaseRequest, work time.Duration) time.Duration {
+	ends := s.clock.Now()
+	for i := range sampleCount {
+		if r.First > sampleKey(i) || sampleKey(i) > r.Last {
+			continue
+		}
+		srv.seenFence[i] = max(srv.seenFence[i], r.Fence)
+		if srv.leaseUntil[i].After(s.clock.Now()) {
+			srv.busyUntil[i] = later(srv.busyUntil[i], s.clock.Now().Add(work))
+			ends = srv.busyUntil[i]
+		}
+		srv.leaseUntil[i] = time.Time{}
+	}
+	return ends.Sub(s.clock.Now())
+}
+
 func (s *sim) probe(g *simGateway, call LeaseCall, reply func(time.Duration, func())) {
 	_, _, err := s.connect(g, call.To, 0)
 	reply(s.delay(), func() { g.machine.CallDone(s.clock.Now(), call.ID, Result{Err: err}) })
--- a/pkg/oriole/orioleassign/store.go
+++ b/pkg/oriole/orioleassign/store.go
@@ -24,6 +24,7 @@
 		}
 	case err != nil:
 		m.nextRead = now.Add(readRetryDelay)
+		m.nextConfirm = now.Add(confirmRetryDelay)
 		m.nextWrite = now.Add(writeRetryDelay)
 		if m.leading {
 			m.resignIfCutOff(now)
@@ -43,7 +44,9 @@
 	case stale && older:
 		return
 	case m.leading && a.Term == m.current.Term && a.Leader == m.cfg.Self:
-		m.confirmLeadership(now, started)
+		if !stale {
+			m.confirmLeadership(started)
+		}
 		if version < m.version || (m.versionExact && version == m.version) {
 			// Nothing has changed, or the read is older than a write that has
 			// been answered meanwhile.
@@ -60,7 +63,7 @@
 		// lost, or this gateway has stepped down since and may have used the
 		// fencing tokens.
 		m.version, m.versionExact = version, true
-		m.confirmLeadership(now, started)
+		m.confirmLeadership(started)
 		m.becomeLeader(now, a)
 		for i := range m.leases {
 			m.leases[i].fenceUnusable = true
@@ -72,6 +75,11 @@
 
 // WriteDone handles the result of a Write that was started at the given time.
 func (m *Machine) WriteDone(now, started time.Time, a oriole.Assignment, version oriole.Version, err error) {
+	if p := m.pendingWrite; p == nil || p.Term != a.Term || p.Seq != a.Seq {
+		// This gateway has stepped down since: what the write did is known once
+		// the assignment is read again.
+		return
+	}
 	m.pendingWrite = nil
 	if m.draining {
 		return
@@ -80,10 +88,14 @@
 	case err == nil && m.hasCurrent && a.Term < m.current.Term:
 		return
 	case err == nil:
-		m.confirmLeadership(now, started)
-		if m.leading {
+		m.confirmLeadership(started)
+		switch {
+		case m.leading && version == m.version:
+			// A read has already shown that the write took effect.
+			m.versionExact = true
+		case m.leading:
 			m.applyWrite(now, a, version)
-		} else {
+		default:
 			m.version, m.versionExact = version, true
 			m.becomeLeader(now, a)
 		}
@@ -128,6 +140,6 @@
 
 // confirmLeadership records that the store has named this gateway the leader,
 // in response to a call started at the given time.
-func (m *Machine) confirmLeadership(now, started time.Time) {
-	m.confirmedAt, m.confirmLatency = started, now.Sub(started)
+func (m *Machine) confirmLeadership(started time.Time) {
+	m.confirmedAt = started
 }
