Upstream connections: endless heads, targets that begin with //, late copies

- A response head had no bound: an upstream that sends a status line or header without end filled the gateway's memory until the deadline.
It is limited to 64 KB.
TestEndlessBytes plays twelve places of such bytes.
- A target that begins with // reached the upstream as GET http://...
- Responses to lease calls name no call.
A late copy of an earlier response on a connection in use again could have been taken for the response to a release, which proves that no request runs: a release gets a connection of its own.

--- a/internal/orioleupstream/client.go
+++ b/internal/orioleupstream/client.go
@@ -60,6 +60,9 @@
 	IdleTimeout func(http.Header) time.Duration
 	// Conn is the connection to use, or 0 for any.
 	Conn oriole.ConnID
+	// NewConn requires a connection that carries this call only, on which no late
+	// response to an earlier call can arrive.
+	NewConn bool
 	// StillValid is called once a connection is available, immediately before the
 	// first byte is sent. If it is set and returns false, nothing is sent.
 	StillValid func() bool
@@ -70,15 +73,19 @@
 // the upstream may have acted on the request.
 func (c *Client) Do(ctx context.Context, call Call) (resp *Response, err error) {
 	defer func() { err = errors.Wrapf(err, "calling %s", call.To.ID) }()
-	conn, err := c.acquire(ctx, call.To, call.Conn)
+	conn, err := c.acquireFor(ctx, call)
 	if err != nil {
 		return nil, err
 	}
 	if call.StillValid != nil && !call.StillValid() {
+		if conn.idleUntil.IsZero() {
+			conn.idleUntil = time.Now().Add(defaultIdleTimeout)
+		}
 		c.putIdle(call.To.Incarnation(), conn)
 		return nil, errors.Wrap(oriole.ErrNotSent, "call is no longer valid")
 	}
 	resp, reusable, err := conn.exchange(ctx, call.Request, call.MatchesRequest)
+	reusable = reusable && !call.NewConn
 	if err != nil || !reusable {
 		conn.abort()
 	}
@@ -116,6 +123,13 @@
 	return nil
 }
 
+func (c *Client) acquireFor(ctx context.Context, call Call) (*conn, error) {
+	if call.NewConn {
+		return dial(ctx, call.To.Addr)
+	}
+	return c.acquire(ctx, call.To, call.Conn)
+}
+
 // acquire returns an idle connection or opens a new one. If id is not 0, it
 // returns the connection with that ID, or [oriole.ErrConnClosed] if it is gone.
 func (c *Client) acquire(ctx context.Context, to oriole.Upstream, id oriole.ConnID) (*conn, error) {
@@ -192,8 +206,9 @@
 	c.idle = nil
 }
 
+// readBody reads the body to its end. It does not close it: that would read an
+// endless one on, and the body holds no resource but the connection.
 func readBody(resp *http.Response) (body []byte, err error) {
-	defer func() { _ = resp.Body.Close() }()
 	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
 	if err == nil && len(body) > maxBodyBytes {
 		return nil, ErrBodyTooLarge
--- a/internal/orioleupstream/client_test.go
+++ b/internal/orioleupstream/client_test.go
@@ -190,9 +190,155 @@
 	})}
 	go func() { _ = server.Serve(l) }()
 	defer func() { _ = server.Close() }()
-	r := request("1")
-	r.Target = "/a%2Fb/..//c?x=%20&y"
-	resp := newSender(t).Send(context.Background(), oriole.Upstream{ID: "i", Addr: netip.MustParseAddrPort(l.Addr().String())}, r)
-	is.Equal(resp.Outcome, oriole.OutcomeAnswered)
-	is.Equal(<-received, `POST /a%2Fb/..//c?x=%20&y h.example body []`)
+	for _, target := range []string{"/a%2Fb/..//c?x=%20&y", "//a/b", "//a/b?c=d", "//", `//a"b/%7e`} {
+		r := request("1")
+		r.Target = target
+		resp := newSender(t).Send(context.Background(), oriole.Upstream{ID: "i", Addr: netip.MustParseAddrPort(l.Addr().String())}, r)
+		is.Equal(resp.Outcome, oriole.OutcomeAnswered)
+		is.Equal(<-received, "POST "+target+" h.example body []")
+	}
+}
+
+// TestEndlessBytes checks that a call to an upstream that sends bytes without end
+// fails, before its deadline if they come fast, after a bounded number of bytes,
+// and that the next call gets a connection of its own.
+func TestEndlessBytes(t *testing.T) {
+	const chunk = "abcdefgh"
+	head := func(id string) string {
+		return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Signature: s\r\n"
+	}
+	for _, test := range []struct {
+		name string
+		// prefix is sent first, then endless without end.
+		prefix  func(id string) string
+		endless string
+		// limit is how many bytes may be read.
+		limit int
+	}{
+		{"no response", func(string) string { return "" }, chunk, 1 << 20},
+		{"status line", func(string) string { return "HTTP/1.1 200 " }, chunk, 1 << 20},
+		{"header line", func(id string) string { return head(id) + "A: " }, chunk, 1 << 20},
+		{"header lines", head, "A: b\r\n", 1 << 20},
+		{"interim responses", func(string) string { return "" }, "HTTP/1.1 100 Continue\r\n\r\n", 1 << 20},
+		{"chunk size", func(id string) string { return head(id) + "Transfer-Encoding: chunked\r\n\r\n" }, "00000000", 1 << 20},
+		{"chunk extension", func(id string) string { return head(id) + "Transfer-Encoding: chunked\r\n\r\n1;" }, chunk, 1 << 20},
+		{"small chunks with extensions", func(id string) string { return head(id) + "Transfer-Encoding: chunked\r\n\r\n" }, "1;abcdefghijklmnopqrstuvwxyz\r\nx\r\n", 64 << 20},
+		{"trailer", func(id string) string { return head(id) + "Transfer-Encoding: chunked\r\n\r\n0\r\nA: " }, chunk, 1 << 20},
+		{"body", func(id string) string { return head(id) + "\r\n" }, chunk, 16 << 20},
+		{"chunked body", func(id string) string { return head(id) + "Transfer-Encoding: chunked\r\n\r\n" }, "8\r\n" + chunk + "\r\n", 64 << 20},
+		{"after a response", okResponse, chunk, 1 << 20},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			to, sent := newEndlessUpstream(t, test.prefix, test.endless)
+			client, closeClient := orioleupstream.New()
+			sender := orioleupstream.NewSender(client, platform.Dialect{}, orioletimer.New())
+			for _, id := range []string{"1", "2"} {
+				r := request(id)
+				r.Deadline = time.Now().Add(10 * time.Second)
+				resp := sender.Send(context.Background(), to, r)
+				if test.name == "after a response" {
+					is.Equal(resp.Outcome, oriole.OutcomeAnswered)
+					is.Equal(string(resp.Body), "hello")
+					continue
+				}
+				is.Equal(resp.Outcome, oriole.OutcomeUnknown) // the upstream may have run it
+				is.True(time.Now().Before(r.Deadline))
+			}
+			closeClient()
+			for range 2 {
+				if n := <-sent; n > test.limit+socketBuffers {
+					t.Errorf("%d bytes were read, limit %d", n, test.limit)
+				}
+			}
+		})
+	}
+}
+
+// socketBuffers is the size of the kernel's buffers between upstream and gateway
+// that may hold bytes which were sent and not read.
+const socketBuffers = 16 << 20
+
+// newEndlessUpstream starts a server that responds to each request with the prefix
+// and then with a text that it repeats until the connection is closed. It reports
+// how many bytes it sent on each connection.
+func newEndlessUpstream(t *testing.T, prefix func(id string) string, endless string) (to oriole.Upstream, sent <-chan int) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	counts := make(chan int, 16)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				req, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				n, err := io.WriteString(conn, prefix(req.Header.Get("X-Attempt-Id")))
+				block := strings.Repeat(endless, 512)
+				for err == nil {
+					var m int
+					m, err = io.WriteString(conn, block)
+					n += m
+				}
+				counts <- n
+			}()
+		}
+	}()
+	return oriole.Upstream{ID: "i-1", Addr: netip.MustParseAddrPort(l.Addr().String()), StartedAt: time.Unix(1, 0)}, counts
+}
+
+// TestCallsOnNewConnections checks that a late copy of an earlier response is not
+// taken for the response to a call that requires a connection of its own.
+func TestCallsOnNewConnections(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	conns := make(chan struct{}, 16)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns <- struct{}{}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				in := bufio.NewReader(conn)
+				for n := 0; ; n++ {
+					if _, err := http.ReadRequest(in); err != nil {
+						return
+					}
+					if n > 0 {
+						// A late copy of the first response.
+						_, _ = io.WriteString(conn, okResponse("first"))
+						<-release
+					}
+					_, _ = io.WriteString(conn, okResponse("first"))
+				}
+			}()
+		}
+	}()
+	client, cleanup := orioleupstream.New()
+	defer cleanup()
+	to := oriole.Upstream{ID: "i-1", Addr: netip.MustParseAddrPort(l.Addr().String()), StartedAt: time.Unix(1, 0)}
+	for range 3 {
+		req, err := http.NewRequest(http.MethodPost, "http://"+to.Addr.String()+"/x", nil)
+		is.NoErr(err)
+		_, err = client.Do(context.Background(), orioleupstream.Call{
+			To: to, Request: req, NewConn: true, MatchesRequest: func(*http.Response) bool { return true },
+		})
+		is.NoErr(err)
+	}
+	close(release)
+	is.Equal(len(conns), 3)
 }
--- a/internal/orioleupstream/conn.go
+++ b/internal/orioleupstream/conn.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -28,6 +31,9 @@
 	// bufferSize is the size of the read and write buffers in bytes. A typical
 	// request or response fits, so that it takes one system call.
 	bufferSize = 4 << 10
+	// maxHeadBytes bounds the status line and header of a response, and what
+	// precedes its body otherwise. An upstream may send bytes without end.
+	maxHeadBytes = 64 << 10
 )
 
 // conn is a connection to an upstream. It carries one request at a time.
@@ -36,6 +42,7 @@
 	tcp     *net.TCPConn
 	in      *bufio.Reader
 	out     *bufio.Writer
+	head    headLimiter
 	tracker trackingWriter
 	id      oriole.ConnID
 	// idleUntil is when the upstream may close the connection if it stays idle.
@@ -55,6 +62,56 @@
 	return w.conn.Write(data)
 }
 
+// headLimiter reads from the connection, and fails once the head of a response
+// exceeds maxHeadBytes.
+type headLimiter struct {
+	conn net.Conn
+	// remaining is the number of bytes that the head may still take, or below 0
+	// if no head is being read.
+	remaining int
+}
+
+// errHeadTooLarge is returned if the head of a response exceeds maxHeadBytes.
+var errHeadTooLarge = errors.New("response header too large")
+
+// Read implements io.Reader.
+func (r *headLimiter) Read(data []byte) (n int, err error) {
+	if r.remaining < 0 {
+		return r.conn.Read(data)
+	}
+	if r.remaining == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err = r.conn.Read(data[:min(len(data), r.remaining)])
+	r.remaining -= n
+	return n, err
+}
+
+// requestLineWriter replaces the first line that is written to it.
+type requestLineWriter struct {
+	out  *bufio.Writer
+	line string
+	done bool
+}
+
+// Write implements io.Writer.
+func (w *requestLineWriter) Write(data []byte) (n int, err error) {
+	n = len(data)
+	if !w.done {
+		_, rest, found := bytes.Cut(data, []byte("\r\n"))
+		if !found {
+			return n, nil
+		}
+		w.done = true
+		if _, err := w.out.WriteString(w.line); err != nil {
+			return 0, err
+		}
+		data = rest
+	}
+	_, err = w.out.Write(data)
+	return n, err
+}
+
 // NewDialer returns a dialer whose connections use TCP keep-alive to detect an
 // unresponsive peer.
 func NewDialer() *net.Dialer {
@@ -82,7 +139,8 @@
 		_ = raw.Close()
 		return nil, errors.Wrapf(oriole.ErrNotSent, "%T is not a TCP connection", raw)
 	}
-	c = &conn{Conn: raw, tcp: tcp, id: oriole.ConnID(lastConnID.Add(1)), in: bufio.NewReaderSize(raw, bufferSize)}
+	c = &conn{Conn: raw, tcp: tcp, id: oriole.ConnID(lastConnID.Add(1)), head: headLimiter{conn: raw, remaining: -1}}
+	c.in = bufio.NewReaderSize(&c.head, bufferSize)
 	c.tracker.conn = raw
 	c.out = bufio.NewWriterSize(&c.tracker, bufferSize)
 	return c, nil
@@ -150,7 +208,12 @@
 }
 
 func (c *conn) write(req *http.Request) error {
-	if err := req.Write(c.out); err != nil {
+	out := io.Writer(c.out)
+	if strings.HasPrefix(req.URL.Opaque, "//") {
+		// net/http would put the scheme before the target.
+		out = &requestLineWriter{out: c.out, line: req.Method + " " + req.URL.Opaque + " HTTP/1.1\r\n"}
+	}
+	if err := req.Write(out); err != nil {
 		return err
 	}
 	return c.out.Flush()
@@ -162,10 +225,12 @@
 
 func (c *conn) read(req *http.Request, matches func(*http.Response) bool) (*Response, bool, error) {
 	for range maxResponses {
+		c.head.remaining = maxHeadBytes
 		resp, err := http.ReadResponse(c.in, req)
 		if err != nil {
 			return nil, false, err
 		}
+		c.head.remaining = -1
 		body, err := readBody(resp)
 		if err != nil {
 			return nil, false, err
--- a/internal/orioleupstream/sender.go
+++ b/internal/orioleupstream/sender.go
@@ -56,8 +56,7 @@
 }
 
 // newRequest converts a request for net/http. URL.Opaque keeps net/http from
-// escaping the request target. A target that begins with // is nevertheless changed:
-// net/http puts the scheme before it.
+// escaping the request target.
 func newRequest(r oriole.Request, header http.Header) *http.Request {
 	if _, found := header["User-Agent"]; !found {
 		// An empty value keeps net/http from adding its own.
