Links only with dispatchers; copy state on write; encode broadcasts once

Cause: each gateway kept two links with each other one, at about 80 KB of stacks and buffers, copied all maps of its state for each patch of an assignment, and encoded a broadcast once per link. The leader searched all leases for each upstream 20 times a second (half of its processor time).

Where VMs are of one size nothing changes. Broadcasts go over accepted links too, encoded once. ClusterState copies a map when it is first changed. gcPercent 300 to 100.

--- a/internal/oriolecapacity/link.go
+++ b/internal/oriolecapacity/link.go
@@ -80,7 +80,7 @@
 		ids = append(ids, id)
 		members[id] = oriole.Member{ID: id, VM: string(id), Zone: "z", PeerAddr: addr, Weight: 1}
 	}
-	dialer.SetMembers(members)
+	dialer.SetMembers(members, members)
 	mux := http.NewServeMux()
 	mux.Handle(oriolelink.Path, accepter)
 	tree = suture.New("links", spec)
--- a/internal/oriolecli/run.go
+++ b/internal/oriolecli/run.go
@@ -22,10 +22,9 @@
 // that the operating system counts but the runtime does not.
 const memoryLimitFraction = 0.6
 
-// gcPercent is how much the heap grows between garbage collections, in percent. A
-// gateway keeps only a few megabytes alive, so that collecting more often would
-// cost more CPU time than the memory it saves is worth.
-const gcPercent = 300
+// gcPercent is how much the heap grows between garbage collections, in percent.
+// Hundreds of gateways hold garbage at the same time.
+const gcPercent = 100
 
 // runCommand runs one gateway.
 type runCommand struct {
--- a/internal/oriolerouter/duties.go
+++ b/internal/oriolerouter/duties.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleliveness"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleplacement"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
 )
 
@@ -59,21 +63,53 @@
 // Serve implements suture.Service.
 func (d *membersDuty) Serve(ctx context.Context) error {
 	changed := d.router.tracker.Subscribe()
-	var last map[oriole.GatewayID]oriole.Member
+	var last *oriole.ClusterState
 	for {
 		select {
 		case <-changed:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		members := d.router.tracker.Snapshot().Gateways
-		if !sameGatewayIDs(last, members) {
-			d.router.links.SetMembers(members)
-			last = members
+		state := d.router.tracker.Snapshot()
+		if last == nil || !sameMembership(last, state) {
+			d.router.links.SetMembers(state.Gateways, wantedLinks(state))
 		}
+		last = state
 	}
 }
 
+// sameMembership reports whether the states have the same gateways and leaders.
+func sameMembership(a, b *oriole.ClusterState) bool {
+	for service, assignment := range b.Assignments {
+		if old := a.Assignments[service]; old == nil || old.Leader != assignment.Leader {
+			return false
+		}
+	}
+	return sameGatewayIDs(a.Gateways, b.Gateways) && maps.Equal(a.Alive, b.Alive)
+}
+
+// wantedLinks returns the gateways that every other one keeps a link with: those
+// that dispatch now, those that do so once all gateways are alive, and the
+// leaders. The watcher and the monitors are among them, since they are the
+// largest. In a small cluster it returns all gateways.
+func wantedLinks(state *oriole.ClusterState) map[oriole.GatewayID]oriole.Member {
+	if orioleliveness.FullMesh(len(state.Gateways)) {
+		return state.Gateways
+	}
+	wanted := make(map[oriole.GatewayID]oriole.Member)
+	for _, members := range [][]oriole.Member{state.LiveMembers(), slices.Collect(maps.Values(state.Gateways))} {
+		for _, m := range orioleplacement.Dispatchers(members) {
+			wanted[m.ID] = m
+		}
+	}
+	for _, a := range state.Assignments {
+		if m, listed := state.Gateways[a.Leader]; listed {
+			wanted[m.ID] = m
+		}
+	}
+	return wanted
+}
+
 // sameGatewayIDs compares only the IDs: a gateway's entry changes only in whether
 // it is draining, which does not affect the links.
 func sameGatewayIDs(a, b map[oriole.GatewayID]oriole.Member) bool {
--- a/internal/oriolerouter/orioledispatcher/duty.go
+++ b/internal/oriolerouter/orioledispatcher/duty.go
@@ -159,13 +159,25 @@
 	if state.Config != nil {
 		service = state.Config.Services[id.Service]
 	}
-	var members []oriole.Upstream
+	p.pool.Update(now, service, poolUpstreams(state, id))
+}
+
+// poolUpstreams returns the usable upstreams of the pool.
+func poolUpstreams(state *oriole.ClusterState, id oriole.PoolID) []oriole.Upstream {
+	if id.Server != "" {
+		u, listed := state.Upstreams[id.Server]
+		if !listed || !state.Usable(u) || orioleplacement.PoolOf(u, true) != id {
+			return nil
+		}
+		return []oriole.Upstream{u}
+	}
+	var upstreams []oriole.Upstream
 	for _, u := range state.UsableUpstreams(id.Service) {
-		if orioleplacement.PoolOf(u, id.Server != "") == id {
-			members = append(members, u)
+		if orioleplacement.PoolOf(u, false) == id {
+			upstreams = append(upstreams, u)
 		}
 	}
-	p.pool.Update(now, service, members)
+	return upstreams
 }
 
 func (d *poolDuty) tick(ctx context.Context, now time.Time) {
--- a/internal/oriolerouter/orioleingress/forwarder.go
+++ b/internal/oriolerouter/orioleingress/forwarder.go
@@ -306,7 +306,7 @@
 // dispatcherFor returns the highest ranked dispatcher of the pool that is
 // reachable, or this gateway if none is.
 func (f *Forwarder) dispatcherFor(state *oriole.ClusterState, pool oriole.PoolID) oriole.GatewayID {
-	for _, id := range f.rankings.Dispatchers(pool, state.LiveMembers()) {
+	for _, id := range f.rankings.Ranking(pool, state.LiveMembers()) {
 		if id == f.cfg.Self.ID || f.cfg.Peers.Reachable(id) {
 			return id
 		}
--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -8,7 +8,6 @@
 
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
@@ -23,12 +22,19 @@
 	writeTimeout = time.Second
 )
 
+// outgoing is a queued frame. data is its encoding if it is queued on several
+// links; else it is encoded when it is written.
+type outgoing struct {
+	frame *oriolemessage.Frame
+	data  []byte
+}
+
 // link is one connection to a peer. Two goroutines serve it: one reads, one
 // writes.
 type link struct {
 	peer oriole.GatewayID
 	conn *websocket.Conn
-	out  *oriolering.Ring[*oriolemessage.Frame]
+	out  *oriolering.Ring[*outgoing]
 	// lastNumber is the number of the last request sent on this link.
 	lastNumber atomic.Uint64
 	// lastWrite is when the last frame was written, and lastRead when the last
@@ -62,7 +68,7 @@
 	return &link{
 		peer:     peer,
 		conn:     conn,
-		out:      oriolering.New[*oriolemessage.Frame](ringSize),
+		out:      oriolering.New[*outgoing](ringSize),
 		pending:  make(map[uint64]*pendingRequest),
 		running:  make(map[uint64]context.CancelFunc),
 		partials: make(map[uint64]*partialBody),
@@ -73,11 +79,16 @@
 // requests.
 func (l *link) serve(ctx context.Context, p *Links) error {
 	defer l.failPending()
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return l.readLoop(ctx, p) })
-	group.Go(func() error { return l.writeLoop(ctx, p) })
-	err := group.Wait()
-	_ = l.conn.CloseNow()
+	ctx, cancel := context.WithCancel(ctx)
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		_ = l.writeLoop(ctx, p)
+		_ = l.conn.CloseNow()
+	}()
+	err := l.readLoop(ctx, p)
+	cancel()
+	<-written
 	return errors.Wrapf(err, "link with %s", l.peer)
 }
 
@@ -102,11 +113,11 @@
 
 func (l *link) writeLoop(ctx context.Context, p *Links) error {
 	for {
-		frame, err := l.out.Take(ctx)
+		out, err := l.out.Take(ctx)
 		if err != nil {
 			return err
 		}
-		if err := l.write(ctx, p, frame); err != nil {
+		if err := l.write(ctx, p, out); err != nil {
 			return err
 		}
 	}
@@ -114,14 +125,16 @@
 
 // write writes one frame. It skips a frame that is too large to encode, and a
 // request that its caller has given up on.
-func (l *link) write(ctx context.Context, p *Links, frame *oriolemessage.Frame) error {
-	// The frame is copied because it may be queued on several links.
-	stamped := *frame
-	stamped.Clock = p.cfg.Clock.Tick()
-	data, err := oriolemessage.Encode(&stamped)
-	if err != nil {
-		p.cfg.Metrics.Add("link_frames_oversize", 1)
-		return nil
+func (l *link) write(ctx context.Context, p *Links, out *outgoing) error {
+	frame, data := out.frame, out.data
+	if data == nil {
+		stamped := *frame
+		stamped.Clock = p.cfg.Clock.Tick()
+		var err error
+		if data, err = oriolemessage.Encode(&stamped); err != nil {
+			p.cfg.Metrics.Add("link_frames_oversize", 1)
+			return nil
+		}
 	}
 	if frame.Request != nil && !l.markWritten(frame.Request.Number) {
 		return nil
@@ -180,7 +193,7 @@
 	}
 	req := l.removePending(number)
 	if req == nil || !req.writtenAt.IsZero() {
-		l.out.Offer(&oriolemessage.Frame{Cancel: &oriolemessage.Cancel{Number: number}})
+		l.out.Offer(&outgoing{frame: &oriolemessage.Frame{Cancel: &oriolemessage.Cancel{Number: number}}})
 		return oriole.UnknownResponse(reason)
 	}
 	return oriole.NotRunResponse(reason)
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -97,14 +97,13 @@
 // Serve.
 func (p *Links) SetReceiver(r Receiver) { p.cfg.Receiver = r }
 
-// SetMembers updates the listed gateways: a duty dials each new one. The link
-// to a gateway that is no longer listed stays open until the connection ends,
-// since requests may still run there.
-func (p *Links) SetMembers(members map[oriole.GatewayID]oriole.Member) {
+// SetMembers updates the listed gateways. A duty keeps a link with each of those
+// in wanted. The link with any other gateway stays open while requests run there.
+func (p *Links) SetMembers(members, wanted map[oriole.GatewayID]oriole.Member) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.liveness.SetMembers(members)
-	for id, m := range members {
+	for id, m := range wanted {
 		if _, found := p.dialers[id]; !found && id != p.cfg.Self.ID {
 			duty := &dialDuty{links: p, to: m, removed: make(chan struct{})}
 			p.dialers[id] = duty
@@ -112,44 +111,70 @@
 		}
 	}
 	for id, duty := range p.dialers {
-		if _, listed := members[id]; !listed {
+		if _, found := wanted[id]; !found {
 			close(duty.removed)
 			delete(p.dialers, id)
 		}
 	}
 }
 
-// Send queues a frame on the link to the peer. It reports false if there is no
+// Send queues a frame on a link with the peer. It reports false if there is no
 // link or its ring is full.
 func (p *Links) Send(to oriole.GatewayID, frame *oriolemessage.Frame) bool {
 	p.mu.Lock()
 	l := p.links[to]
+	for other := range p.accepted {
+		if l == nil && other.peer == to {
+			l = other
+		}
+	}
 	p.mu.Unlock()
-	return l != nil && p.offer(l, frame)
+	return l != nil && p.offer(l, &outgoing{frame: frame})
 }
 
-// Broadcast queues a frame on all links.
+// Broadcast queues a frame on one link with each linked peer.
 func (p *Links) Broadcast(frame *oriolemessage.Frame) {
-	for _, l := range p.allLinks() {
-		p.offer(l, frame)
+	out := p.encode(frame)
+	for _, l := range p.onePerPeer() {
+		p.offer(l, out)
 	}
 }
 
-func (p *Links) offer(l *link, frame *oriolemessage.Frame) bool {
-	if l.out.Offer(frame) {
+// encode encodes a frame that is queued on several links.
+func (p *Links) encode(frame *oriolemessage.Frame) *outgoing {
+	out := &outgoing{frame: frame}
+	stamped := *frame
+	stamped.Clock = p.cfg.Clock.Tick()
+	data, err := oriolemessage.Encode(&stamped)
+	if err == nil {
+		out.data = data
+	}
+	return out
+}
+
+func (p *Links) offer(l *link, out *outgoing) bool {
+	if l.out.Offer(out) {
 		return true
 	}
 	p.cfg.Metrics.Add("link_ring_full", 1)
 	return false
 }
 
-func (p *Links) allLinks() []*link {
+// onePerPeer returns one link with each peer: the link that this gateway has
+// opened, or else one that the peer has opened.
+func (p *Links) onePerPeer() []*link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	links := make([]*link, 0, len(p.links))
+	links := make([]*link, 0, len(p.links)+len(p.accepted))
 	for _, l := range p.links {
 		links = append(links, l)
 	}
+	added := make(map[oriole.GatewayID]bool)
+	for l := range p.accepted {
+		if p.links[l.peer] == nil && !added[l.peer] {
+			links, added[l.peer] = append(links, l), true
+		}
+	}
 	return links
 }
 
@@ -289,7 +314,7 @@
 type dialDuty struct {
 	links *Links
 	to    oriole.Member
-	// removed is closed when the peer is no longer listed.
+	// removed is closed when no link with the peer is wanted any more.
 	removed chan struct{}
 }
 
@@ -331,8 +356,8 @@
 		return false
 	}
 	l := newLink(d.to.ID, conn)
-	l.out.Offer(&oriolemessage.Frame{Hello: oriolemessage.FromMember(p.cfg.Self)})
-	l.out.Offer(&oriolemessage.Frame{Heartbeat: p.cfg.Receiver.Heartbeat()})
+	l.out.Offer(&outgoing{frame: &oriolemessage.Frame{Hello: oriolemessage.FromMember(p.cfg.Self)}})
+	l.out.Offer(&outgoing{frame: &oriolemessage.Frame{Heartbeat: p.cfg.Receiver.Heartbeat()}})
 	p.mu.Lock()
 	p.links[d.to.ID] = l
 	p.liveness.RecordFrame(p.cfg.Timers.Now(), d.to.ID)
--- a/internal/oriolerouter/oriolelink/part.go
+++ b/internal/oriolerouter/oriolelink/part.go
@@ -35,7 +35,7 @@
 // full.
 func (l *link) offerAll(frames []*oriolemessage.Frame, last *oriolemessage.Frame) bool {
 	for _, frame := range append(frames, last) {
-		if !l.out.Offer(frame) {
+		if !l.out.Offer(&outgoing{frame: frame}) {
 			return false
 		}
 	}
--- a/internal/oriolerouter/oriolestate/update.go
+++ b/internal/oriolerouter/oriolestate/update.go
@@ -86,13 +86,13 @@
 			"born": u.StartedAt.UnixMilli(), "draining": u.Draining, "cold": u.ColdRemaining.String(),
 		}).Info(oriolelog.MessageUpstreamChanged)
 	}
-	state.Upstreams[u.ID] = u
+	state.EditUpstreams()[u.ID] = u
 }
 
 // markDeparted keeps an incarnation that has ended, so that its leases can be
 // released.
 func (b *bookkeeping) markDeparted(state *oriole.ClusterState, u oriole.Upstream) {
-	state.Departed[u.Incarnation()] = u
+	state.EditDeparted()[u.Incarnation()] = u
 	b.departedAt[u.Incarnation()] = b.now
 }
 
@@ -104,7 +104,7 @@
 		for id := range b.missing {
 			if u, known := state.Upstreams[id]; known {
 				b.markDeparted(state, u)
-				delete(state.Upstreams, id)
+				delete(state.EditUpstreams(), id)
 				b.cfg.Log.WithField("upstream", id).Info(oriolelog.MessageUpstreamGone)
 			}
 		}
@@ -113,7 +113,7 @@
 	for incarnation, at := range b.departedAt {
 		if b.now.Sub(at) > departedRetention {
 			delete(b.departedAt, incarnation)
-			delete(state.Departed, incarnation)
+			delete(state.EditDeparted(), incarnation)
 		}
 	}
 	state.DirectoryLoaded = b.listed["upstreams"] && b.listed["outs"] && b.listed["gateways"]
@@ -129,15 +129,16 @@
 }
 
 func (u evacuationUpdate) apply(state *oriole.ClusterState, b *bookkeeping) {
+	evacuated := state.EditEvacuated()
 	if u.reset {
-		clear(state.Evacuated)
+		clear(evacuated)
 	}
 	for _, change := range u.changes {
 		zone := oriole.ZoneName(change.Name)
 		if change.Removed {
-			delete(state.Evacuated, zone)
+			delete(evacuated, zone)
 		} else {
-			state.Evacuated[zone] = true
+			evacuated[zone] = true
 		}
 		b.cfg.Log.WithField("zone", zone).WithField("out", !change.Removed).Info(oriolelog.MessageZoneChanged)
 	}
@@ -155,22 +156,23 @@
 }
 
 func (u gatewayUpdate) apply(state *oriole.ClusterState, b *bookkeeping) {
+	gateways := state.EditGateways()
 	if u.reset {
-		clear(state.Gateways)
-		state.Gateways[b.cfg.Self.ID] = b.cfg.Self
+		clear(gateways)
+		gateways[b.cfg.Self.ID] = b.cfg.Self
 	}
 	for _, change := range u.changes {
 		// Entries are keyed by VM, so a new gateway replaces the earlier one on
 		// the same VM.
-		for id, m := range state.Gateways {
+		for id, m := range gateways {
 			if m.VM == change.Name && id != b.cfg.Self.ID {
-				delete(state.Gateways, id)
+				delete(gateways, id)
 			}
 		}
 		if change.Removed || change.Value.VM == b.cfg.Self.VM {
 			continue
 		}
-		state.Gateways[change.Value.ID] = change.Value
+		gateways[change.Value.ID] = change.Value
 	}
 	b.listed["gateways"] = true
 	b.sweep(state)
@@ -184,16 +186,20 @@
 // for another gateway on this gateway's VM.
 func (u peerUpdate) apply(state *oriole.ClusterState, b *bookkeeping) {
 	m := u.member
-	for id, known := range state.Gateways {
+	if state.Gateways[m.ID] == m {
+		return
+	}
+	gateways := state.EditGateways()
+	for id, known := range gateways {
 		if known.VM != m.VM || id == m.ID {
 			continue
 		}
 		if id.Supersedes(m.ID) || id == b.cfg.Self.ID {
 			return
 		}
-		delete(state.Gateways, id)
+		delete(gateways, id)
 	}
-	state.Gateways[m.ID] = m
+	gateways[m.ID] = m
 }
 
 type livenessUpdate struct{ alive map[oriole.GatewayID]bool }
@@ -209,7 +215,7 @@
 			b.cfg.Log.WithField("peer", id).Warn(oriolelog.MessagePeerLost)
 		}
 	}
-	state.Alive = u.alive
+	state.SetAlive(u.alive)
 }
 
 type assignmentUpdate struct{ assignment oriole.Assignment }
@@ -217,8 +223,7 @@
 func (u assignmentUpdate) apply(state *oriole.ClusterState, b *bookkeeping) {
 	a := u.assignment
 	if a.Newer(state.Assignments[a.Service]) {
-		state.Assignments[a.Service] = &a
-		state.AssignedAt[a.Service] = b.now
+		state.SetAssignment(&a, b.now)
 	}
 }
 
@@ -239,8 +244,7 @@
 		b.cfg.RequestAssignment(u.patch.Service, u.from)
 		return
 	}
-	state.Assignments[u.patch.Service] = &next
-	state.AssignedAt[u.patch.Service] = b.now
+	state.SetAssignment(&next, b.now)
 }
 
 // failureUpdate reports that a call to the directory has failed.
--- a/pkg/oriole/clusterstate.go
+++ b/pkg/oriole/clusterstate.go
@@ -52,11 +52,19 @@
 	Assignments map[ServiceName]*Assignment
 	AssignedAt  map[ServiceName]time.Time
 
-	// index is nil until the state is published.
+	// index is nil until the state is published. own records which maps belong to
+	// this state alone.
 	index *stateIndex
+	own   ownedMaps
 }
 
-// stateIndex caches the lookups that are made for each request.
+// ownedMaps records which maps of a state are not shared with another one.
+type ownedMaps struct {
+	upstreams, departed, evacuated, gateways, assignments bool
+}
+
+// stateIndex caches the lookups that are made for each request. A part that is
+// nil has to be built.
 type stateIndex struct {
 	members []Member
 	usable  map[ServiceName][]Upstream
@@ -65,30 +73,98 @@
 // BuildIndex precomputes frequent lookups. The state must not be changed
 // afterwards.
 func (s *ClusterState) BuildIndex() {
-	index := &stateIndex{members: s.LiveMembers(), usable: make(map[ServiceName][]Upstream)}
-	for _, u := range s.Upstreams {
-		if _, done := index.usable[u.Service]; !done {
-			index.usable[u.Service] = s.UsableUpstreams(u.Service)
+	index := &stateIndex{}
+	if s.index != nil {
+		*index = *s.index
+	}
+	s.index = nil
+	if index.members == nil {
+		index.members = s.LiveMembers()
+	}
+	if index.usable == nil {
+		index.usable = make(map[ServiceName][]Upstream)
+		for _, u := range s.Upstreams {
+			if _, done := index.usable[u.Service]; !done {
+				index.usable[u.Service] = s.UsableUpstreams(u.Service)
+			}
 		}
 	}
 	s.index = index
 }
 
-// Clone returns a copy with its own maps and the next sequence number.
+// Clone returns a copy with the next sequence number. It shares its maps with s
+// until one of the Edit methods copies them.
 func (s *ClusterState) Clone() *ClusterState {
 	next := *s
 	next.Seq++
-	next.index = nil
-	next.Upstreams = maps.Clone(s.Upstreams)
-	next.Departed = maps.Clone(s.Departed)
-	next.Evacuated = maps.Clone(s.Evacuated)
-	next.Gateways = maps.Clone(s.Gateways)
-	next.Alive = maps.Clone(s.Alive)
-	next.Assignments = maps.Clone(s.Assignments)
-	next.AssignedAt = maps.Clone(s.AssignedAt)
+	next.own = ownedMaps{}
+	if s.index != nil {
+		index := *s.index
+		next.index = &index
+	}
 	return &next
 }
 
+// edit returns the map to change, which is a copy unless the state owns it.
+func edit[K comparable, V any](m *map[K]V, owned *bool) map[K]V {
+	if !*owned {
+		*m, *owned = maps.Clone(*m), true
+	}
+	return *m
+}
+
+// EditUpstreams returns Upstreams for changes.
+func (s *ClusterState) EditUpstreams() map[ServerID]Upstream {
+	s.dropUsable()
+	return edit(&s.Upstreams, &s.own.upstreams)
+}
+
+// EditDeparted returns Departed for changes.
+func (s *ClusterState) EditDeparted() map[Incarnation]Upstream {
+	return edit(&s.Departed, &s.own.departed)
+}
+
+// EditEvacuated returns Evacuated for changes.
+func (s *ClusterState) EditEvacuated() map[ZoneName]bool {
+	s.dropUsable()
+	return edit(&s.Evacuated, &s.own.evacuated)
+}
+
+// EditGateways returns Gateways for changes.
+func (s *ClusterState) EditGateways() map[GatewayID]Member {
+	s.dropMembers()
+	return edit(&s.Gateways, &s.own.gateways)
+}
+
+// SetAlive replaces Alive. The caller must not modify the map afterwards.
+func (s *ClusterState) SetAlive(alive map[GatewayID]bool) {
+	s.dropMembers()
+	s.Alive = alive
+}
+
+// SetAssignment replaces the assignment of its service.
+func (s *ClusterState) SetAssignment(a *Assignment, at time.Time) {
+	if !s.own.assignments {
+		s.Assignments, s.AssignedAt = maps.Clone(s.Assignments), maps.Clone(s.AssignedAt)
+		s.own.assignments = true
+	}
+	s.Assignments[a.Service], s.AssignedAt[a.Service] = a, at
+}
+
+// dropMembers and dropUsable discard the parts of the index that a change makes
+// stale.
+func (s *ClusterState) dropMembers() {
+	if s.index != nil {
+		s.index.members = nil
+	}
+}
+
+func (s *ClusterState) dropUsable() {
+	if s.index != nil {
+		s.index.usable = nil
+	}
+}
+
 // NewClusterState returns an empty state.
 func NewClusterState() *ClusterState {
 	return &ClusterState{
@@ -109,7 +185,7 @@
 // UsableUpstreams returns the usable upstreams of the service, sorted by ID.
 // The caller must not modify the result.
 func (s *ClusterState) UsableUpstreams(service ServiceName) []Upstream {
-	if s.index != nil {
+	if s.index != nil && s.index.usable != nil {
 		return s.index.usable[service]
 	}
 	var usable []Upstream
@@ -138,10 +214,10 @@
 // LiveMembers returns the gateways that are in the directory, alive and not
 // draining, sorted by ID. The caller must not modify the result.
 func (s *ClusterState) LiveMembers() []Member {
-	if s.index != nil {
+	if s.index != nil && s.index.members != nil {
 		return s.index.members
 	}
-	var members []Member
+	members := make([]Member, 0, len(s.Gateways))
 	for id, m := range s.Gateways {
 		if s.Alive[id] && !m.Draining {
 			members = append(members, m)
--- a/pkg/oriole/orioleassign/call.go
+++ b/pkg/oriole/orioleassign/call.go
@@ -241,9 +241,10 @@
 // sendProbes requests probes of the upstreams without ranges: only those that
 // can be reached are assigned any.
 func (m *Machine) sendProbes(now time.Time) {
+	owners := m.owners()
 	for _, u := range m.state.UsableUpstreams(m.cfg.Service) {
 		st := m.status(u.Incarnation())
-		if st.probing || st.granting || m.owns(u.Incarnation()) || now.Sub(st.probedAt) < probeValidity || st.nextProbe.After(now) {
+		if st.probing || st.granting || owners[u.Incarnation()] || now.Sub(st.probedAt) < probeValidity || st.nextProbe.After(now) {
 			continue
 		}
 		st.probing = true
@@ -251,8 +252,13 @@
 	}
 }
 
-func (m *Machine) owns(incarnation oriole.Incarnation) bool {
-	return slices.ContainsFunc(m.leases, func(l lease) bool { return l.Owner == incarnation })
+// owners returns the incarnations that own ranges.
+func (m *Machine) owners() map[oriole.Incarnation]bool {
+	owners := make(map[oriole.Incarnation]bool, len(m.leases))
+	for i := range m.leases {
+		owners[m.leases[i].Owner] = true
+	}
+	return owners
 }
 
 func (m *Machine) newCall(kind callKind, to oriole.Upstream, l lease, sendBefore time.Time) *LeaseCall {
--- a/pkg/oriole/orioleassign/plan.go
+++ b/pkg/oriole/orioleassign/plan.go
@@ -13,9 +13,10 @@
 // ended are left out.
 func (m *Machine) targets(now time.Time, initial bool) []target {
 	var targets []target
+	owners := m.owners()
 	for _, u := range m.state.UsableUpstreams(m.cfg.Service) {
 		st := m.status(u.Incarnation())
-		reached := initial || m.owns(u.Incarnation()) || now.Sub(st.probedAt) < probeValidity
+		reached := initial || owners[u.Incarnation()] || now.Sub(st.probedAt) < probeValidity
 		if !reached || st.down || st.ended {
 			continue
 		}
--- a/pkg/oriole/orioleliveness/detector.go
+++ b/pkg/oriole/orioleliveness/detector.go
@@ -12,13 +12,12 @@
 package orioleliveness
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
 
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
-	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolehash"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleplacement"
 )
 
 const (
@@ -41,10 +40,6 @@
 	monitorLossPeriod = settleTime + SilenceTimeout
 )
 
-// monitorSubject is the subject by which candidates for monitor are ranked. All
-// gateways of a cluster must use the same value.
-const monitorSubject = "heads"
-
 // Detector is the failure detector of one gateway.
 type Detector struct {
 	self    oriole.Member
@@ -71,6 +66,9 @@
 	monitor     bool
 }
 
+// FullMesh reports whether all of n gateways exchange heartbeats with each other.
+func FullMesh(n int) bool { return n <= maxMeshSize }
+
 // New returns the failure detector of the gateway self, which starts now.
 func New(now time.Time, self oriole.Member) *Detector {
 	return &Detector{
@@ -172,7 +170,7 @@
 // highest weight and then the lowest hash rank, first from distinct zones, then
 // from any.
 func (d *Detector) selectMonitors(now time.Time) {
-	d.fullMesh = len(d.members) < maxMeshSize
+	d.fullMesh = FullMesh(len(d.members) + 1)
 	clear(d.monitors)
 	candidates := []oriole.Member{d.self}
 	for id, m := range d.members {
@@ -180,10 +178,7 @@
 			candidates = append(candidates, m)
 		}
 	}
-	slices.SortFunc(candidates, func(a, b oriole.Member) int {
-		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(
-			oriolehash.Rank(monitorSubject, string(a.ID)), oriolehash.Rank(monitorSubject, string(b.ID))))
-	})
+	orioleplacement.SortBySize(candidates)
 	zones := make(map[oriole.ZoneName]bool)
 	for _, distinctZones := range []bool{true, false} {
 		for _, m := range candidates {
--- a/pkg/oriole/orioleplacement/placement.go
+++ b/pkg/oriole/orioleplacement/placement.go
@@ -14,10 +14,56 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolehash"
 )
 
-// RankDispatchers returns the candidate dispatchers of the pool, best first: the
-// gateways of its zone, so that traffic to its upstreams stays in the zone, then
-// the others. The pools of a zone are spread over its gateways in proportion to
-// their weights, and the loss of a gateway moves only its own pools.
+const (
+	// minDispatchers is the number of dispatchers of a zone that has as many
+	// gateways, so that others are linked with all gateways when one is lost.
+	minDispatchers = 3
+	// minDispatcherShare is the weight of a dispatcher as a share of the greatest
+	// weight in its zone.
+	minDispatcherShare = 0.5
+)
+
+// Dispatchers returns the gateways that may be dispatchers: the largest of each
+// zone. All other gateways keep links with these only, so that the number of
+// links does not grow with the square of the number of gateways. If all VMs of a
+// zone are of about the same size, all of its gateways are dispatchers.
+func Dispatchers(members []oriole.Member) []oriole.Member {
+	byZone := make(map[oriole.ZoneName][]oriole.Member)
+	for _, m := range members {
+		byZone[m.Zone] = append(byZone[m.Zone], m)
+	}
+	dispatchers := make([]oriole.Member, 0, len(members))
+	for _, zone := range byZone {
+		SortBySize(zone)
+		for i, m := range zone {
+			if i < minDispatchers || m.Weight >= minDispatcherShare*zone[0].Weight {
+				dispatchers = append(dispatchers, m)
+			}
+		}
+	}
+	return dispatchers
+}
+
+// sizeSubject is the subject by which gateways of the same weight are ranked. All
+// gateways of a cluster must use the same value.
+const sizeSubject = "heads"
+
+// SortBySize sorts the gateways by weight, largest first, and those of the same
+// weight in an order that does not depend on their names.
+func SortBySize(members []oriole.Member) {
+	ranks := make(map[oriole.GatewayID]uint64, len(members))
+	for _, m := range members {
+		ranks[m.ID] = oriolehash.Rank(sizeSubject, string(m.ID))
+	}
+	slices.SortFunc(members, func(a, b oriole.Member) int {
+		return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(ranks[a.ID], ranks[b.ID]))
+	})
+}
+
+// RankDispatchers returns the candidate dispatchers of the pool, best first: those
+// of its zone, so that traffic to its upstreams stays in the zone, then the others.
+// The pools of a zone are spread over its dispatchers in proportion to their
+// weights, and the loss of a gateway moves only its own pools.
 func RankDispatchers(pool oriole.PoolID, members []oriole.Member) []oriole.GatewayID {
 	return rankMembers(pool.String(), members, func(a, b oriole.Member) int {
 		return compareBool(b.Zone == pool.Zone, a.Zone == pool.Zone)
@@ -59,23 +105,26 @@
 // RankingCache caches the rankings of pools until the list of gateways changes.
 // Its zero value is empty and ready to use. It is safe for concurrent use.
 type RankingCache struct {
-	mu       sync.Mutex
-	members  []oriole.Member
-	rankings map[oriole.PoolID][]oriole.GatewayID
+	mu          sync.Mutex
+	members     []oriole.Member
+	dispatchers []oriole.Member
+	rankings    map[oriole.PoolID][]oriole.GatewayID
 }
 
-// Dispatchers returns the same as [RankDispatchers]. The caller must not modify
+// Ranking returns the same as [RankDispatchers] of the [Dispatchers] among the
+// members. The caller must not modify
 // members afterwards, nor the result.
-func (c *RankingCache) Dispatchers(pool oriole.PoolID, members []oriole.Member) []oriole.GatewayID {
+func (c *RankingCache) Ranking(pool oriole.PoolID, members []oriole.Member) []oriole.GatewayID {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.rankings == nil || !sameMembers(c.members, members) {
 		c.rankings = make(map[oriole.PoolID][]oriole.GatewayID)
+		c.dispatchers = Dispatchers(members)
 	}
 	c.members = members
 	ranking, known := c.rankings[pool]
 	if !known {
-		ranking = RankDispatchers(pool, members)
+		ranking = RankDispatchers(pool, c.dispatchers)
 		c.rankings[pool] = ranking
 	}
 	return ranking
--- a/pkg/oriole/orioleplacement/placement_test.go
+++ b/pkg/oriole/orioleplacement/placement_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -92,8 +94,64 @@
 	var cache orioleplacement.RankingCache
 	pool := oriole.PoolID{Service: "s", Zone: "z1"}
 	all := members(9)
-	is.Equal(cache.Dispatchers(pool, all), orioleplacement.RankDispatchers(pool, all))
-	is.Equal(cache.Dispatchers(pool, all), orioleplacement.RankDispatchers(pool, all)) // cached
+	is.Equal(cache.Ranking(pool, all), orioleplacement.RankDispatchers(pool, all))
+	is.Equal(cache.Ranking(pool, all), orioleplacement.RankDispatchers(pool, all)) // cached
 	fewer := all[:5:5]
-	is.Equal(cache.Dispatchers(pool, fewer), orioleplacement.RankDispatchers(pool, fewer))
+	is.Equal(cache.Ranking(pool, fewer), orioleplacement.RankDispatchers(pool, fewer))
+}
+
+// fleet returns gateways of the given weights in each of the zones.
+func fleet(zones int, weights ...float64) []oriole.Member {
+	var members []oriole.Member
+	for zone := range zones {
+		for i, weight := range weights {
+			id := oriole.GatewayID(fmt.Sprintf("vm-%d-%d", zone, i))
+			members = append(members, oriole.Member{ID: id, VM: string(id), Zone: oriole.ZoneName(fmt.Sprintf("z%d", zone)), Weight: weight})
+		}
+	}
+	return members
+}
+
+func TestDispatchersAreTheLargestOfEachZone(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		weights []float64
+		want    int // in each zone
+	}{
+		{"VMs of one size", []float64{0.3, 0.3, 0.3, 0.3}, 4},
+		{"few large ones", []float64{0.16, 0.8, 0.16, 0.8, 0.16, 0.8, 0.16, 0.8, 0.16}, 4},
+		{"one large one", []float64{0.16, 0.8, 0.16, 0.16, 0.16}, 3},
+		{"fewer than the minimum", []float64{0.16, 0.8}, 2},
+		{"sizes that differ a little", []float64{0.3, 0.25, 0.2, 0.16}, 4},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			byZone := make(map[oriole.ZoneName]int)
+			largest := make(map[oriole.ZoneName]bool)
+			for _, m := range orioleplacement.Dispatchers(fleet(3, test.weights...)) {
+				byZone[m.Zone]++
+				largest[m.Zone] = largest[m.Zone] || m.Weight == slices.Max(test.weights)
+			}
+			is.Equal(byZone, map[oriole.ZoneName]int{"z0": test.want, "z1": test.want, "z2": test.want})
+			is.Equal(len(largest), 3)
+		})
+	}
+}
+
+// TestLinksDoNotGrowWithTheFleet checks that of 1,000 gateways with five large VMs
+// in each zone, one has to keep links with 35 only, whatever gateways are lost.
+func TestLinksDoNotGrowWithTheFleet(t *testing.T) {
+	is := is.New(t)
+	weights := slices.Repeat([]float64{0.16}, 138)
+	weights = append(weights, 0.8, 0.8, 0.8, 0.8, 0.8)
+	members := fleet(7, weights...)
+	is.Equal(len(members), 1001)
+	dispatchers := orioleplacement.Dispatchers(members)
+	is.Equal(len(dispatchers), 35)
+
+	// A zone that has lost its large VMs has dispatchers all the same.
+	live := slices.DeleteFunc(slices.Clone(members), func(m oriole.Member) bool { return m.Zone == "z0" && m.Weight == 0.8 })
+	pool := oriole.PoolID{Service: "s", Zone: "z0", Server: "i-1"}
+	ranked := orioleplacement.RankDispatchers(pool, orioleplacement.Dispatchers(live))
+	is.True(strings.HasPrefix(string(ranked[0]), "vm-0-"))
 }
