Callers' bodies without end, a restarted state duty, silent links

- A caller's body that came slowly held its connection for ever, and bodies of unknown length were not counted while they were read.
A body must arrive within the route's timeout, or the request gets 408 and has not run; all bytes count towards the limit as they are read.
- A state duty that restarted forgot which kinds were listed, so that the gateway became unready, and which upstreams were leaving, so that they stayed in use.
Its bookkeeping now outlives it.
- The first frame of a link must arrive within 2 s.

--- a/internal/oriolerouter/orioleingress/http.go
+++ b/internal/oriolerouter/orioleingress/http.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -21,9 +22,9 @@
 	// noConfigRetryAfter is the retry delay sent to callers until the gateway
 	// has received a configuration.
 	noConfigRetryAfter = 200 * time.Millisecond
-	// maxBufferedBytes limits the total size of buffered request bodies to a
-	// quarter of the memory of the smallest VM. Bodies that are still being read
-	// are not counted.
+	// maxBufferedBytes limits the total size of buffered request bodies, also of
+	// those that are still being read, to a quarter of the memory of the smallest
+	// VM.
 	maxBufferedBytes = 48 << 20
 	// bufferFullRetryAfter is the retry delay sent to callers whose request body
 	// would exceed maxBufferedBytes.
@@ -46,7 +47,8 @@
 	forwarder *Forwarder
 	dialect   oriole.Dialect
 	routes    atomic.Pointer[routeTable]
-	// buffered is the total size of the bodies of requests in flight.
+	// buffered is the total size of the bodies of requests in flight and of the
+	// parts of bodies that have been read.
 	buffered atomic.Int64
 }
 
@@ -97,9 +99,7 @@
 		h.reject(w, request, *rejected)
 		return
 	}
-	buffered := int64(len(request.Body))
-	h.buffered.Add(buffered)
-	defer h.buffered.Add(-buffered)
+	defer h.buffered.Add(-int64(len(request.Body)))
 	resp := h.forwarder.Do(r.Context(), request, max(route.MaxAttempts, 1))
 	h.forwarder.cfg.Metrics.ObserveLatency(resp.Reason.String(), h.forwarder.cfg.Clock.Now().Sub(start))
 	h.forwarder.cfg.Metrics.Add("entry_"+resp.Outcome.String()+"_"+resp.Reason.String(), 1)
@@ -134,18 +134,14 @@
 	if h.buffered.Load()+max(r.ContentLength, 0) > maxBufferedBytes {
 		return request, route, &rejection{http.StatusServiceUnavailable, oriole.ReasonQueueFull, bufferFullRetryAfter}, nil
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, cfg.Limits.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return request, route, &rejection{status: http.StatusRequestEntityTooLarge}, nil
-	case err != nil:
-		return request, route, nil, errors.Wrap(err, "read request body")
-	}
 	timeout := route.Timeout
 	if callerTimeout > 0 {
 		timeout = min(timeout, callerTimeout-responseMargin)
 	}
+	body, rejected, err := h.readBody(w, r, cfg.Limits.MaxBodyBytes, timeout)
+	if rejected != nil || err != nil {
+		return request, route, rejected, err
+	}
 	request.Service = service
 	request.Host = r.Host
 	request.Method = r.Method
@@ -159,6 +155,53 @@
 	return request, route, nil, nil
 }
 
+// errBufferFull is returned when a body would exceed maxBufferedBytes.
+var errBufferFull = errors.New("too many bytes of request bodies are buffered")
+
+// countingReader counts the bytes of a body in Handler.buffered as they are read.
+type countingReader struct {
+	io.Reader
+	total *atomic.Int64
+	n     int64
+}
+
+// Read implements io.Reader.
+func (c *countingReader) Read(data []byte) (int, error) {
+	if c.total.Load() > maxBufferedBytes {
+		return 0, errBufferFull
+	}
+	n, err := c.Reader.Read(data)
+	c.total.Add(int64(n))
+	c.n += int64(n)
+	return n, err
+}
+
+// readBody reads the body of a request, which may come slowly or without end. Its
+// size is counted in h.buffered, unless the request is rejected or reading fails.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) (body []byte, rejected *rejection, err error) {
+	control := http.NewResponseController(w)
+	// A server that can't set a deadline is one of a test.
+	_ = control.SetReadDeadline(time.Now().Add(timeout))
+	counted := &countingReader{Reader: http.MaxBytesReader(w, r.Body, limit), total: &h.buffered}
+	body, err = io.ReadAll(counted)
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+		return body, nil, nil
+	}
+	h.buffered.Add(-counted.n)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &rejection{status: http.StatusRequestEntityTooLarge}, nil
+	case errors.Is(err, errBufferFull):
+		return nil, &rejection{http.StatusServiceUnavailable, oriole.ReasonQueueFull, bufferFullRetryAfter}, nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		return nil, &rejection{status: http.StatusRequestTimeout}, nil
+	}
+	return nil, nil, errors.Wrap(err, "read request body")
+}
+
 // headerBytes returns the size of the request line and header as sent, without
 // optional white space.
 func headerBytes(r *http.Request) int {
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -26,10 +26,12 @@
 const Path = "/link"
 
 const (
-	// dialTimeout bounds one attempt to open a link. Attempts are repeated with
+	// dialTimeout bounds one attempt to open a link, and helloTimeout the time
+	// until its first frame has arrived. Attempts are repeated with
 	// exponential backoff, up to maxDialBackoff, so that a peer that becomes
 	// reachable again is connected within about a second.
 	dialTimeout        = 500 * time.Millisecond
+	helloTimeout       = 2 * time.Second
 	initialDialBackoff = 100 * time.Millisecond
 	maxDialBackoff     = 800 * time.Millisecond
 )
@@ -224,7 +226,9 @@
 	defer func() { _ = conn.CloseNow() }()
 	conn.SetReadLimit(oriolemessage.MaxFrameSize)
 	ctx := r.Context()
-	_, data, err := conn.Read(ctx)
+	helloCtx, cancel := context.WithTimeout(ctx, helloTimeout)
+	_, data, err := conn.Read(helloCtx)
+	cancel()
 	if err != nil {
 		return
 	}
--- a/internal/oriolerouter/oriolestate/tracker.go
+++ b/internal/oriolerouter/oriolestate/tracker.go
@@ -107,7 +107,7 @@
 	state.Gateways[cfg.Self.ID] = cfg.Self
 	state.Alive[cfg.Self.ID] = true
 	t.current.Store(&snapshot{state: state, replaced: make(chan struct{})})
-	t.Add(&stateDuty{t})
+	t.Add(newStateDuty(t))
 	t.Add(&followDuty[*oriole.Config]{
 		tracker: t, kind: oriolemessage.KindConfigs, watchTimeout: defaultWatchTimeout,
 		feed: cfg.Directory.Configs(), newUpdate: newConfigUpdate,
@@ -211,19 +211,27 @@
 
 // stateDuty owns the state: it applies updates and publishes the result. All
 // queued updates are applied before the state is published once.
-type stateDuty struct{ tracker *Tracker }
-
-func (d *stateDuty) String() string { return "believe" }
+type stateDuty struct {
+	tracker *Tracker
+	// bookkeeping outlives a restart of the duty: the published state still holds
+	// the upstreams that it lists as missing.
+	bookkeeping *bookkeeping
+}
 
-// Serve implements suture.Service.
-func (d *stateDuty) Serve(ctx context.Context) error {
-	t := d.tracker
-	b := &bookkeeping{
+func newStateDuty(t *Tracker) *stateDuty {
+	return &stateDuty{t, &bookkeeping{
 		cfg:        t.cfg,
 		missing:    make(map[oriole.ServerID]bool),
 		departedAt: make(map[oriole.Incarnation]time.Time),
 		listed:     make(map[string]bool),
-	}
+	}}
+}
+
+func (d *stateDuty) String() string { return "believe" }
+
+// Serve implements suture.Service.
+func (d *stateDuty) Serve(ctx context.Context) error {
+	t, b := d.tracker, d.bookkeeping
 	ticks, stop := t.cfg.Timers.Subscribe(sweepInterval)
 	defer stop()
 	for {
--- a/internal/oriolerouter/oriolestate/tracker_test.go
+++ b/internal/oriolerouter/oriolestate/tracker_test.go
@@ -118,3 +118,37 @@
 	is.Equal(state.Assignments["s"].Term, uint64(3))
 	is.Equal(state.Assignments["s"].Leader, oriole.GatewayID("vm.2"))
 }
+
+// TestRestartedStateDutyRemembers checks that a restart of the state duty neither
+// makes the gateway unready nor keeps an upstream that has left in use.
+func TestRestartedStateDutyRemembers(t *testing.T) {
+	is := is.New(t)
+	clock := &manualClock{now: time.Unix(1000, 0)}
+	tracker := newTracker(clock)
+	duty := newStateDuty(tracker)
+	run := func(updates ...update) {
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- duty.Serve(ctx) }()
+		for _, u := range updates {
+			_, replaced := tracker.Watch()
+			tracker.enqueue(ctx, u)
+			<-replaced
+		}
+		cancel()
+		<-done
+	}
+	listed := oriole.Change[oriole.Upstream]{Name: "u", Value: oriole.Upstream{ID: "u", Service: "s", StartedAt: time.UnixMilli(1)}}
+	run(newUpstreamUpdate(true, []oriole.Change[oriole.Upstream]{listed}), newEvacuationUpdate(true, nil), newGatewayUpdate(true, nil))
+	is.True(tracker.Snapshot().DirectoryLoaded)
+
+	// The upstream leaves while calls to the directory fail, so that it is not
+	// removed yet.
+	run(failureUpdate{}, newUpstreamUpdate(false, []oriole.Change[oriole.Upstream]{{Name: "u", Removed: true}}))
+	is.True(tracker.Snapshot().DirectoryLoaded)
+	is.Equal(len(tracker.Snapshot().Upstreams), 1)
+	clock.now = clock.now.Add(removalDelay)
+	run(sweepUpdate{})
+	is.True(tracker.Snapshot().DirectoryLoaded)
+	is.Equal(len(tracker.Snapshot().Upstreams), 0)
+}
--- a/internal/oriolesoak/harness.go
+++ b/internal/oriolesoak/harness.go
@@ -116,6 +116,15 @@
 	}
 }
 
+// vmWeight returns the weight of the n-th VM of a zone: one in three is large, so
+// that soaks of many gateways have some that do not dispatch.
+func vmWeight(n int) float64 {
+	if n%3 == 0 {
+		return 0.8
+	}
+	return 0.16
+}
+
 // newHarness starts the store, the upstreams and the gateways.
 func newHarness(cfg Config, dir runDir) (h *harness, cleanup func(), err error) {
 	defer func() { err = errors.Wrap(err, "starting the test harness") }()
@@ -165,7 +174,7 @@
 		}
 	}
 	for i := range cfg.Gateways {
-		v, cleanup, err := h.runDir.newVM(fmt.Sprintf("vm-%d", i), zones[i%len(zones)], addr)
+		v, cleanup, err := h.runDir.newVM(fmt.Sprintf("vm-%d", i), zones[i%len(zones)], vmWeight(i/len(zones)), addr)
 		if err != nil {
 			return err
 		}
--- a/internal/oriolesoak/process.go
+++ b/internal/oriolesoak/process.go
@@ -66,7 +66,7 @@
 
 // newVM writes the settings of a VM, and returns the VM with a function that kills
 // its process and closes its proxies.
-func (d runDir) newVM(name, zone string, store netip.AddrPort) (v *vm, cleanup func(), err error) {
+func (d runDir) newVM(name, zone string, weight float64, store netip.AddrPort) (v *vm, cleanup func(), err error) {
 	defer func() { err = errors.Wrapf(err, "creating %s", name) }()
 	addrs, err := oriolesite.FreeAddrs(4)
 	if err != nil {
@@ -92,9 +92,10 @@
 		Reach   netip.AddrPort `json:"reach"`
 		Metrics netip.AddrPort `json:"metrics"`
 		Store   netip.AddrPort `json:"store"`
+		Weight  float64        `json:"weight"`
 		Memory  int            `json:"memory"`
 		Grace   string         `json:"grace"`
-	}{name, zone, v.callerAddr, v.readinessAddr, addrs[2], v.peerProxy.addr, addrs[3], v.storeProxy.addr, memoryLimitMB, gracePeriod.String()})
+	}{name, zone, v.callerAddr, v.readinessAddr, addrs[2], v.peerProxy.addr, addrs[3], v.storeProxy.addr, weight, memoryLimitMB, gracePeriod.String()})
 	if err != nil {
 		return nil, nil, err
 	}
