Placing: an overloaded band of keys is cut at once, also beside a blocked target

Cause: balance ended its plan at the first overloaded target that no move relieves, such as the owner of one hot key, and so held up the relief of all others. A range that has moved can't be split again until it is handed over, so that a band of hot keys was only halved by each plan.

Change: a target that can't be relieved is passed over for other overloaded ones; the load of an overloaded target goes in pieces that fill others to at most 0.8, in the end key by key.

--- a/pkg/oriole/orioleassign/balance.go
+++ b/pkg/oriole/orioleassign/balance.go
@@ -40,6 +40,10 @@
 	return t.duration.Seconds() * growth
 }
 
+// fillUtilization is the utilization up to which a target is filled by the load
+// of an overloaded one.
+const fillUtilization = 0.8
+
 // overloadGrowth is the slope of the cost above maxUtilization.
 const overloadGrowth = 1000
 
@@ -189,56 +193,103 @@
 }
 
 // balance moves ranges from the targets with the highest cost to those with the
-// lowest. It reports whether anything changed.
+// lowest. A target that no move relieves, such as the owner of a single hot key,
+// does not hold up the relief of other overloaded targets. It reports whether
+// anything changed.
 func (b *balancer) balance() bool {
 	if len(b.targets) < 2 {
 		return b.changed
 	}
-	for range max(minMoves, int(movesPerTarget*float64(len(b.targets)))) {
-		if !b.moveOne() {
+	blocked := make(map[*target]bool)
+	for moves := max(minMoves, int(movesPerTarget*float64(len(b.targets)))); moves > 0; {
+		high, low := b.mostExpensive(blocked), b.leastExpensive()
+		if high == nil || !needsRelief(high, low) || (len(blocked) > 0 && !high.overloaded()) {
 			break
 		}
+		if b.relieve(high, low) {
+			moves--
+		} else {
+			blocked[high] = true
+		}
 	}
 	return b.changed
 }
 
-// moveOne moves the range, or part of a range, that comes closest to equalizing
-// the costs of the most and the least expensive target. It reports whether it
-// moved any.
-func (b *balancer) moveOne() bool {
-	high := slices.MaxFunc(b.targets, func(x, y *target) int { return cmp.Compare(x.cost(x.load), y.cost(y.load)) })
-	low := slices.MinFunc(b.targets, func(x, y *target) int { return cmp.Compare(x.receiveCost(), y.receiveCost()) })
-	if high == low || high.load <= 2*minTargetLoad || high.cost(high.load) < low.receiveCost()*(1+costTolerance) {
-		return false
+// mostExpensive returns the target with the highest cost that is not blocked, or
+// nil if all are.
+func (b *balancer) mostExpensive(blocked map[*target]bool) *target {
+	var high *target
+	highCost := 0.0
+	for _, t := range b.targets {
+		if cost := t.cost(t.load); !blocked[t] && (high == nil || cost > highCost) {
+			high, highCost = t, cost
+		}
 	}
+	return high
+}
+
+func (b *balancer) leastExpensive() *target {
+	return slices.MinFunc(b.targets, func(x, y *target) int { return cmp.Compare(x.receiveCost(), y.receiveCost()) })
+}
+
+// needsRelief reports whether the costs of the targets differ enough for a move.
+func needsRelief(high, low *target) bool {
+	return high != low && high.load > 2*minTargetLoad && high.cost(high.load) >= low.receiveCost()*(1+costTolerance)
+}
+
+// overloaded reports whether the target's queue is assumed to grow without bound.
+func (t *target) overloaded() bool { return t.load >= maxUtilization*t.capacity }
+
+// relieve moves the range, or part of a range, that comes closest to equalizing
+// the costs of the two targets. It reports whether it moved any.
+func (b *balancer) relieve(high, low *target) bool {
 	want := equalizingLoad(high, low)
 	if low.load < minTargetLoad {
 		want = max(want, minTargetLoad)
 	}
-	minLoad := want * minMoveShare
-	if high.load >= maxUtilization*high.capacity {
+	minLoad, maxLoad := want*minMoveShare, want*maxMoveShare
+	if high.overloaded() {
+		// A range that is moved can't be split again until it is handed over, so
+		// that a hot one is cut at once into pieces that a target can handle.
+		if room := fillUtilization*low.capacity - low.load; room > 0 {
+			want = min(want, room)
+			maxLoad = max(want*maxMoveShare, room)
+		}
 		// The target is overloaded: a move of any size is worth its handover.
 		minLoad = 0
 	}
-	best, bestDiff := oriole.Range{}, math.Inf(1)
-	index := -1
+	best, index := b.bestPart(high, want, minLoad, maxLoad, b.candidateParts)
+	if index < 0 && high.overloaded() {
+		best, index = b.bestPart(high, want, minLoad, maxLoad, func(r oriole.Range, _ float64) []oriole.Range {
+			return []oriole.Range{b.load.hottestBucket(r)}
+		})
+	}
+	if index < 0 {
+		return b.moveHottestBucket(high)
+	}
+	high.load -= b.load.between(best.First, best.Last)
+	b.replacePart(index, best, b.reassign(best, low))
+	return true
+}
+
+// bestPart returns the part of a range of the target whose load is between
+// minLoad and maxLoad and the closest to want, and the index of the range, which
+// is -1 if there is none. parts returns the candidates of a range.
+func (b *balancer) bestPart(owner *target, want, minLoad, maxLoad float64, parts func(r oriole.Range, want float64) []oriole.Range) (best oriole.Range, index int) {
+	index = -1
+	bestDiff := math.Inf(1)
 	for i, r := range b.ranges {
-		if r.Owner != high.incarnation || !r.Grantable() {
+		if r.Owner != owner.incarnation || !r.Grantable() {
 			continue
 		}
-		for _, part := range b.candidateParts(r, want) {
+		for _, part := range parts(r, want) {
 			load := b.load.between(part.First, part.Last)
-			if diff := math.Abs(load - want); load > minLoad && load < want*maxMoveShare && diff < bestDiff {
+			if diff := math.Abs(load - want); load > minLoad && load < maxLoad && diff < bestDiff {
 				best, bestDiff, index = part, diff, i
 			}
 		}
 	}
-	if index < 0 {
-		return b.moveHottestBucket(high)
-	}
-	high.load -= b.load.between(best.First, best.Last)
-	b.replacePart(index, best, b.reassign(best, low))
-	return true
+	return best, index
 }
 
 // minUpgradeFactor is the minimum ratio of a target's capacity to that of a hot
@@ -249,7 +300,7 @@
 // target with the highest capacity. A single key can't be split, so that a hot
 // key needs the fastest upstream if no other move relieves its owner.
 func (b *balancer) moveHottestBucket(from *target) bool {
-	if from.load < maxUtilization*from.capacity {
+	if !from.overloaded() {
 		return false
 	}
 	to := slices.MaxFunc(b.targets, func(x, y *target) int { return cmp.Compare(x.capacity, y.capacity) })
