Upstreams of a zone that returns from an evacuation count as cold

An upstream may have become cold while its zone was evacuated, and its entry shows that up to two seconds after the end of the evacuation.

Change: for 2.5 s its coldness is assumed.

--- a/internal/oriolerouter/oriolestate/tracker.go
+++ b/internal/oriolerouter/oriolestate/tracker.go
@@ -28,6 +28,10 @@
 	// departedRetention is how long a departed upstream is kept with its
 	// address, so that its leases can still be released.
 	departedRetention = 15 * time.Second
+	// returnColdness is how long the upstreams of a zone that returns from an
+	// evacuation count as cold, if nothing else is known. Their entries reach all
+	// gateways within it: a heartbeat of theirs, a watch and its relay.
+	returnColdness = 2500 * time.Millisecond
 	// sweepInterval is how often pending removals and expired departures are
 	// checked.
 	sweepInterval = 250 * time.Millisecond
--- a/internal/oriolerouter/oriolestate/tracker_test.go
+++ b/internal/oriolerouter/oriolestate/tracker_test.go
@@ -152,3 +152,33 @@
 	is.True(tracker.Snapshot().DirectoryLoaded)
 	is.Equal(len(tracker.Snapshot().Upstreams), 0)
 }
+
+// TestUpstreamsOfReturningZoneCountAsCold checks that upstreams get no more than
+// a cold one may until their entries can show whether they have become cold
+// while their zone was evacuated.
+func TestUpstreamsOfReturningZoneCountAsCold(t *testing.T) {
+	is := is.New(t)
+	clock := &manualClock{now: time.Unix(1000, 0)}
+	tracker := newTracker(clock)
+	listed := func(name string, zone oriole.ZoneName, cold time.Duration) oriole.Change[oriole.Upstream] {
+		return oriole.Change[oriole.Upstream]{Name: name, Value: oriole.Upstream{
+			ID: oriole.ServerID(name), Service: "s", Zone: zone, StartedAt: time.UnixMilli(1), ColdRemaining: cold,
+		}}
+	}
+	zone := func(evacuated bool) update {
+		return newEvacuationUpdate(false, []oriole.Change[oriole.ZoneName]{{Name: "z1", Value: "z1", Removed: !evacuated}})
+	}
+	state := apply(tracker, oriole.NewClusterState(), newUpstreamUpdate(true, []oriole.Change[oriole.Upstream]{
+		listed("a", "z1", 0), listed("b", "z1", time.Minute), listed("c", "z2", 0),
+	}), zone(true), zone(false))
+	is.Equal(state.Upstreams["a"].ColdUntil, clock.now.Add(returnColdness))
+	is.Equal(state.Upstreams["b"].ColdUntil, clock.now.Add(time.Minute))
+	is.True(state.Upstreams["c"].ColdUntil.IsZero())
+
+	// An entry says how long it is cold in fact; a zone that was not evacuated
+	// does not return.
+	state = apply(tracker, state, newUpstreamUpdate(false, []oriole.Change[oriole.Upstream]{listed("a", "z1", 4*time.Second)}))
+	is.Equal(state.Upstreams["a"].ColdUntil, clock.now.Add(4*time.Second))
+	state = apply(tracker, state, newUpstreamUpdate(false, []oriole.Change[oriole.Upstream]{listed("a", "z1", 0)}), zone(false))
+	is.True(state.Upstreams["a"].ColdUntil.IsZero())
+}
--- a/internal/oriolerouter/oriolestate/update.go
+++ b/internal/oriolerouter/oriolestate/update.go
@@ -136,6 +136,9 @@
 	for _, change := range u.changes {
 		zone := oriole.ZoneName(change.Name)
 		if change.Removed {
+			if evacuated[zone] {
+				b.limitReturning(state, zone)
+			}
 			delete(evacuated, zone)
 		} else {
 			evacuated[zone] = true
@@ -146,6 +149,19 @@
 	b.sweep(state)
 }
 
+// limitReturning counts the upstreams of a zone that is no longer evacuated as
+// cold: they may have become so, and their entries show it only later.
+func (b *bookkeeping) limitReturning(state *oriole.ClusterState, zone oriole.ZoneName) {
+	until := b.now.Add(returnColdness)
+	upstreams := state.EditUpstreams()
+	for id, u := range upstreams {
+		if u.Zone == zone && u.ColdUntil.Before(until) {
+			u.ColdUntil = until
+			upstreams[id] = u
+		}
+	}
+}
+
 type gatewayUpdate struct {
 	reset   bool
 	changes []oriole.Change[oriole.Member]
