Lease calls that expire before they are sent say nothing of the upstream

An expired call counted as a failure to connect, so that two of them made an upstream count as down and its ranges move. A release that had not been sent also counted as one that may have arrived, after which the longest request duration has to pass.

Change: ErrExpired, which changes neither.

--- a/internal/orioleupstream/client.go
+++ b/internal/orioleupstream/client.go
@@ -82,7 +82,7 @@
 			conn.idleUntil = time.Now().Add(defaultIdleTimeout)
 		}
 		c.putIdle(call.To.Incarnation(), conn)
-		return nil, errors.Wrap(oriole.ErrNotSent, "call is no longer valid")
+		return nil, oriole.ErrExpired
 	}
 	resp, reusable, err := conn.exchange(ctx, call.Request, call.MatchesRequest)
 	reusable = reusable && !call.NewConn
--- a/pkg/oriole/directory.go
+++ b/pkg/oriole/directory.go
@@ -26,6 +26,9 @@
 	// ErrConnClosed is returned when the connection that a call must be sent on
 	// is closed. It wraps [ErrNotSent].
 	ErrConnClosed = errors.Wrap(ErrNotSent, "connection is closed")
+	// ErrExpired is returned when a call was not sent in time. It wraps
+	// [ErrNotSent] and says nothing about the upstream.
+	ErrExpired = errors.Wrap(ErrNotSent, "call has expired")
 	// ErrConnRefused is returned when nothing listens on an upstream's address,
 	// so that the incarnation that listened there has ended.
 	ErrConnRefused = errors.New("nothing listens on the address")
--- a/pkg/oriole/orioleassign/call.go
+++ b/pkg/oriole/orioleassign/call.go
@@ -402,6 +402,7 @@
 			}
 			p.releaseInFlight = false
 			p.nextRelease = now.Add(callRetryDelay)
+			p.releaseSent = c.repeated || mayHaveArrived(r.Err)
 		}
 		// A release with an earlier fencing token proves nothing about what the
 		// prior owner was granted since.
@@ -439,7 +440,7 @@
 		return
 	case errors.Is(err, oriole.ErrReplaced):
 		st.refusals = downThreshold
-	case errors.Is(err, oriole.ErrConnClosed), c.kind == callRelease && mayHaveArrived(err):
+	case errors.Is(err, oriole.ErrConnClosed), errors.Is(err, oriole.ErrExpired), c.kind == callRelease && mayHaveArrived(err):
 		return
 	case errors.Is(err, oriole.ErrConnRefused):
 		st.refusals++
--- a/pkg/oriole/orioleassign/late_test.go
+++ b/pkg/oriole/orioleassign/late_test.go
@@ -39,7 +39,7 @@
 		}
 		s.log("%s %s %s %d-%d fence %d", g.name, name, call.To.ID, call.Lease.First, call.Lease.Last, call.Lease.Fence)
 		if !s.clock.Now().Before(call.SendBefore) {
-			reply(0, func() { g.machine.CallDone(s.clock.Now(), call.ID, Result{Err: oriole.ErrNotSent}) })
+			reply(0, func() { g.machine.CallDone(s.clock.Now(), call.ID, Result{Err: oriole.ErrExpired}) })
 			return
 		}
 		do(g, call, reply)
--- a/pkg/oriole/orioleassign/takeover_test.go
+++ b/pkg/oriole/orioleassign/takeover_test.go
@@ -293,3 +293,26 @@
 		})
 	}
 }
+
+// TestExpiredCallsSayNothingOfUpstream checks that calls which waited too long in
+// this gateway, as those of a leader that has to grant hundreds of leases at once
+// may, don't make their upstream count as down, and that a release which was not
+// sent is not taken for a first one that was.
+func TestExpiredCallsSayNothingOfUpstream(t *testing.T) {
+	x := newTakeover(t)
+	release := x.move()
+	for range 2 * downThreshold {
+		x.old.CallDone(x.now, release.ID, Result{Err: oriole.ErrExpired})
+		x.True(!x.old.status(release.To.Incarnation()).down)
+		x.now = x.now.Add(callRetryDelay)
+		x.old.confirmLeadership(x.now)
+		x.old.Tick(x.now)
+		_, _, _, releases := x.effects(x.old)
+		x.Equal(len(releases), 1)
+		release = releases[0]
+		x.True(!x.old.calls[release.ID].repeated)
+	}
+	x.old.CallDone(x.now, release.ID, Result{Handover: "h"})
+	_, _, grants, _ := x.effects(x.old)
+	x.Equal(len(grants), 1)
+}
