--- a/internal/oriolerouter/oriolestate/tracker.go
+++ b/internal/oriolerouter/oriolestate/tracker.go
@@ -95,6 +95,9 @@
 	missing map[oriole.ServerID]bool
 	// departedAt holds when each departed incarnation was replaced or removed.
 	departedAt map[oriole.Incarnation]time.Time
+	// coldUntil holds until when the upstreams of each zone that has returned from
+	// an evacuation count as cold.
+	coldUntil map[oriole.ZoneName]time.Time
 	// listed holds the kinds of entries of which an update has been applied.
 	listed map[string]bool
 }
@@ -227,6 +230,7 @@
 		cfg:        t.cfg,
 		missing:    make(map[oriole.ServerID]bool),
 		departedAt: make(map[oriole.Incarnation]time.Time),
+		coldUntil:  make(map[oriole.ZoneName]time.Time),
 		listed:     make(map[string]bool),
 	}}
 }
--- a/internal/oriolerouter/oriolestate/update.go
+++ b/internal/oriolerouter/oriolestate/update.go
@@ -76,6 +76,9 @@
 	if u.ColdRemaining > 0 {
 		u.ColdUntil = b.now.Add(u.ColdRemaining)
 	}
+	if until := b.coldUntil[u.Zone]; b.now.Before(until) && u.ColdUntil.Before(until) {
+		u.ColdUntil = until
+	}
 	if known && old.Incarnation() != u.Incarnation() {
 		b.markDeparted(state, old)
 	}
@@ -153,6 +156,7 @@
 // cold: they may have become so, and their entries show it only later.
 func (b *bookkeeping) limitReturning(state *oriole.ClusterState, zone oriole.ZoneName) {
 	until := b.now.Add(returnColdness)
+	b.coldUntil[zone] = until
 	upstreams := state.EditUpstreams()
 	for id, u := range upstreams {
 		if u.Zone == zone && u.ColdUntil.Before(until) {
