Requests at a dispatcher that withdraws its directory entry are kept

Callers saw: when a gateway was stopped as planned, every other gateway gave up, 30 ms later, all idempotent requests that were running there.

Cause: a gateway that drains first removes its entry from the directory. Links fails the requests at peers that the failure detector does not report as alive, and the detector knows listed gateways only. So an orderly departure was taken for a failure.

Change: the detector says which gateways have failed: those listed and not alive, and those whose VM runs a later gateway. Links fails requests at these, and on links on which nothing arrives. An unlisted gateway keeps its requests.

Evidence: TestWithdrawnDispatcherKeepsIdempotentRequests got "unknown" instead of the response before.

--- a/internal/oriolerouter/oriolelink/heartbeat.go
+++ b/internal/oriolerouter/oriolelink/heartbeat.go
@@ -120,7 +120,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, l := range p.links {
-		if l.unresponsive(now) || !p.liveness.Alive(id) {
+		if l.unresponsive(now) || p.liveness.Failed(id) {
 			l.failIdempotent()
 		}
 	}
--- a/internal/oriolerouter/oriolelink/links_test.go
+++ b/internal/oriolerouter/oriolelink/links_test.go
@@ -19,13 +19,20 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
 )
 
-// frameReceiver implements Receiver and passes on the frames of its peers.
-type frameReceiver struct{ frames chan *oriolemessage.Frame }
+// frameReceiver implements Receiver and passes on the frames of its peers, and
+// the reply functions of their requests.
+type frameReceiver struct {
+	frames  chan *oriolemessage.Frame
+	replies chan func(oriole.Response)
+}
+
+func (frameReceiver) HandlePeer(context.Context, oriole.Member)                 {}
+func (frameReceiver) HandleLiveness(context.Context, map[oriole.GatewayID]bool) {}
+func (frameReceiver) Heartbeat() *oriolemessage.Heartbeat                       { return &oriolemessage.Heartbeat{} }
 
-func (frameReceiver) HandleRequest(context.Context, oriole.Request, func(oriole.Response)) {}
-func (frameReceiver) HandlePeer(context.Context, oriole.Member)                            {}
-func (frameReceiver) HandleLiveness(context.Context, map[oriole.GatewayID]bool)            {}
-func (frameReceiver) Heartbeat() *oriolemessage.Heartbeat                                  { return &oriolemessage.Heartbeat{} }
+func (r frameReceiver) HandleRequest(_ context.Context, _ oriole.Request, reply func(oriole.Response)) {
+	r.replies <- reply
+}
 
 func (r frameReceiver) HandleFrame(_ context.Context, _ oriole.GatewayID, frame *oriolemessage.Frame) {
 	if frame.Suspect != nil {
@@ -36,7 +43,7 @@
 // startLinks starts the links of a gateway that peers can dial.
 func startLinks(t *testing.T, id oriole.GatewayID) (*Links, oriole.Member, frameReceiver) {
 	t.Helper()
-	receiver := frameReceiver{make(chan *oriolemessage.Frame, 16)}
+	receiver := frameReceiver{make(chan *oriolemessage.Frame, 16), make(chan func(oriole.Response), 16)}
 	timers := orioletimer.New()
 	cfg := Config{
 		Metrics: orioletelemetry.NewMetrics(), Log: &log.Logger{Handler: discard.New()}, Clock: &orioletelemetry.LogicalClock{},
@@ -93,6 +100,39 @@
 	is.True(forwarder.Reachable(dispatcherMember.ID))
 }
 
+// TestWithdrawnDispatcherKeepsIdempotentRequests guards against giving up the requests
+// that run at a gateway which drains, once the directory no longer lists it.
+func TestWithdrawnDispatcherKeepsIdempotentRequests(t *testing.T) {
+	is := is.New(t)
+	_, dispatcherMember, dispatcherReceiver := startLinks(t, "dispatcher.1")
+	forwarder, forwarderMember, _ := startLinks(t, "forwarder.1")
+	wanted := map[oriole.GatewayID]oriole.Member{dispatcherMember.ID: dispatcherMember}
+	forwarder.SetMembers(map[oriole.GatewayID]oriole.Member{dispatcherMember.ID: dispatcherMember, forwarderMember.ID: forwarderMember}, wanted)
+	for range 500 {
+		if forwarder.Reachable(dispatcherMember.ID) {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	responses := make(chan oriole.Response, 1)
+	go func() {
+		request := oriole.Request{ID: "r", Pool: oriole.PoolID{Service: "s"}, Method: "GET", Idempotent: true, Deadline: time.Now().Add(time.Minute)}
+		responses <- forwarder.Forward(context.Background(), dispatcherMember.ID, request)
+	}()
+	var reply func(oriole.Response)
+	select {
+	case reply = <-dispatcherReceiver.replies:
+	case resp := <-responses:
+		t.Fatal(resp.Reason)
+	}
+
+	forwarder.SetMembers(map[oriole.GatewayID]oriole.Member{forwarderMember.ID: forwarderMember}, nil)
+	forwarder.tick(time.Now())
+	forwarder.failUnresponsive(time.Now())
+	reply(oriole.Response{Outcome: oriole.OutcomeAnswered, Status: 200})
+	is.Equal((<-responses).Outcome, oriole.OutcomeAnswered)
+}
+
 func (p *Links) linkCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/oriole/orioleliveness/detector.go
+++ b/pkg/oriole/orioleliveness/detector.go
@@ -124,6 +124,21 @@
 // Alive reports whether the gateway was considered alive at the last Tick.
 func (d *Detector) Alive(id oriole.GatewayID) bool { return d.alive[id] }
 
+// Failed reports whether the gateway has failed: the directory lists it but it was
+// not alive at the last Tick, or its VM runs a later one. A gateway that the
+// directory does not list may be completing requests before it stops.
+func (d *Detector) Failed(id oriole.GatewayID) bool {
+	if _, listed := d.members[id]; listed {
+		return !d.alive[id]
+	}
+	for other := range d.members {
+		if other.Supersedes(id) {
+			return true
+		}
+	}
+	return false
+}
+
 // Tick updates the set of live gateways and the monitors. It returns the live
 // gateways, this one included; the caller must not modify the map.
 func (d *Detector) Tick(now time.Time) map[oriole.GatewayID]bool {
--- a/pkg/oriole/orioleliveness/detector_test.go
+++ b/pkg/oriole/orioleliveness/detector_test.go
@@ -232,3 +232,28 @@
 		}
 	}
 }
+
+// TestUnlistedGatewayHasNotFailed guards against taking a gateway that withdrew its
+// entry before it stops for one that has failed.
+func TestUnlistedGatewayHasNotFailed(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(3)
+	node := c.nodes["vm-0.a"]
+	c.run(2 * time.Second)
+	is.True(!node.Failed("vm-1.a"))
+	members := maps.Clone(c.members)
+	delete(members, "vm-1.a")
+	node.SetMembers(members)
+	c.run(2 * time.Second)
+	is.True(!node.Alive("vm-1.a"))
+	is.True(!node.Failed("vm-1.a"))
+
+	// A later gateway on its VM shows that it has ended.
+	members["vm-1.b"] = oriole.Member{ID: "vm-1.b", VM: "vm-1", Zone: "z1"}
+	node.SetMembers(members)
+	is.True(node.Failed("vm-1.a"))
+
+	c.down["vm-2.a"] = true
+	c.run(3 * time.Second)
+	is.True(node.Failed("vm-2.a"))
+}
