Store versions carry the era of the store

The platform's store may be restored from an older copy. Revisions then go back and are given out again, so a revision alone doesn't order two states of the store. It states an era in each response, which rises with each restore.

oriole.Version becomes the era and the revision.

--- a/internal/oriolecapacity/measure.go
+++ b/internal/oriolecapacity/measure.go
@@ -254,12 +254,12 @@
 	for effects := l.machine.TakeEffects(); len(effects) > 0; effects = l.machine.TakeEffects() {
 		for _, e := range effects {
 			switch {
-			case e.Read != nil && l.version == 0:
-				l.machine.ReadDone(l.now, l.now, oriole.Assignment{}, 0, e.Read.AllowStale, oriole.ErrNotFound)
+			case e.Read != nil && l.version.Revision == 0:
+				l.machine.ReadDone(l.now, l.now, oriole.Assignment{}, oriole.Version{}, e.Read.AllowStale, oriole.ErrNotFound)
 			case e.Read != nil:
 				l.machine.ReadDone(l.now, l.now, l.stored, l.version, e.Read.AllowStale, nil)
 			case e.Write != nil:
-				l.version, l.stored = l.version+1, e.Write.Assignment
+				l.version, l.stored = l.version.Next(), e.Write.Assignment
 				l.machine.WriteDone(l.now, l.now, l.stored, l.version, nil)
 			case e.Grant != nil:
 				l.machine.CallDone(l.now, e.Grant.ID, orioleassign.Result{Conn: 1})
--- a/internal/oriolecli/sites.go
+++ b/internal/oriolecli/sites.go
@@ -171,7 +171,7 @@
 func storedConfig(ctx context.Context, operator oriole.Operator) (cfg *oriole.Config, version oriole.Version, err error) {
 	cfg, version, err = operator.ReadConfig(ctx)
 	if errors.Is(err, oriole.ErrNotFound) {
-		return nil, 0, nil
+		return nil, oriole.Version{}, nil
 	}
 	return cfg, version, errors.Wrap(err, "reading the stored configuration")
 }
--- a/internal/oriolemessage/message_gen.go
+++ b/internal/oriolemessage/message_gen.go
@@ -119,6 +119,9 @@
 	// Entries corresponds to the JSON schema field "entries".
 	Entries []Entry `json:"entries"`
 
+	// Era is the era of the store that both versions are of.
+	Era uint64 `json:"era"`
+
 	// Kind is the kind of the entries: configs, upstreams, zones or gateways.
 	Kind string `json:"kind"`
 
--- a/internal/oriolerouter/oriolestate/follow.go
+++ b/internal/oriolerouter/oriolestate/follow.go
@@ -143,7 +143,7 @@
 	}
 	if d.tracker.isWatcher() {
 		d.tracker.cfg.BroadcastUpdate(&oriolemessage.Feed{
-			Kind: d.kind, Reset: reset, PrevVersion: uint64(d.version), Version: uint64(version),
+			Kind: d.kind, Reset: reset, PrevVersion: d.version.Revision, Era: version.Era, Version: version.Revision,
 			Entries: oriolemessage.FromChanges(changes, d.encode),
 		})
 	}
@@ -167,8 +167,8 @@
 // applyRelayed applies an update from the watcher. If the update is invalid or
 // an earlier one is missing, it calls the directory.
 func (d *followDuty[T]) applyRelayed(ctx context.Context, feed *oriolemessage.Feed) {
-	version := oriole.Version(feed.Version)
-	if version <= d.version {
+	version := oriole.Version{Era: feed.Era, Revision: feed.Version}
+	if !d.version.Before(version) {
 		return
 	}
 	changes, err := oriolemessage.ToChanges(feed.Entries, d.decode)
@@ -176,7 +176,7 @@
 	case err != nil:
 		d.tracker.cfg.Log.WithError(err).WithField("feed", d.kind).Warn("directory update rejected")
 		d.watch(ctx)
-	case !feed.Reset && oriole.Version(feed.PrevVersion) > d.version:
+	case !feed.Reset && d.version.Before(oriole.Version{Era: feed.Era, Revision: feed.PrevVersion}):
 		// An earlier update was lost.
 		d.watch(ctx)
 	default:
--- a/internal/oriolesite/site.go
+++ b/internal/oriolesite/site.go
@@ -170,7 +170,7 @@
 	s.version++
 	operator, cleanup := platform.New(s.storeAddr, func(string, string, error) {})
 	defer cleanup()
-	storeVersion := oriole.Version(0)
+	var storeVersion oriole.Version
 	if s.version > 1 {
 		if _, storeVersion, err = operator.ReadConfig(context.Background()); err != nil {
 			return err
--- a/pkg/oriole/directory.go
+++ b/pkg/oriole/directory.go
@@ -76,8 +76,8 @@
 	// object, or ErrNotFound.
 	ReadConfig(ctx context.Context) (*Config, Version, error)
 	// WriteConfig replaces the configuration if its object has the expected
-	// version; 0 creates it. It fails with ErrConflict if the version differs.
-	// After any error other than ErrConflict and ErrBusy the write may have taken
+	// version; revision 0 creates it. It fails with ErrConflict if the version
+	// differs. After any error other than ErrConflict and ErrBusy the write may have taken
 	// effect, or may take effect later.
 	WriteConfig(ctx context.Context, cfg *Config, expected Version) error
 	// SetZoneEvacuated marks an availability zone as evacuated, or clears the
@@ -87,11 +87,12 @@
 
 // AssignmentStore stores the assignments of sharded services.
 type AssignmentStore interface {
-	// ReadAssignment returns the assignment and its version, or ErrNotFound.
+	// ReadAssignment returns the assignment and its version, or ErrNotFound. The
+	// version's era is then that of the store.
 	// If allowStale is set, the result may be seconds old.
 	ReadAssignment(ctx context.Context, service ServiceName, allowStale bool) (Assignment, Version, error)
 	// WriteAssignment replaces the assignment if it has the expected version;
-	// 0 creates it. It fails with ErrConflict if the version differs, and with
+	// revision 0 creates it. It fails with ErrConflict if the version differs, and with
 	// ErrBusy if the directory refused the call. After any other error the write
 	// may have taken effect, or may take effect later.
 	WriteAssignment(ctx context.Context, assignment Assignment, expected Version) (Version, error)
--- a/pkg/oriole/ids.go
+++ b/pkg/oriole/ids.go
@@ -20,9 +20,28 @@
 // ZoneName is the name of an availability zone.
 type ZoneName string
 
-// Version is the store's version of an object; 0 means that the object does not
-// exist.
-type Version uint64
+// Version is the store's version of an object or a list. The zero Version means
+// that there is none.
+type Version struct {
+	// Era counts how often the store was restored from an older copy, as the store
+	// states it. What was written in an earlier era may be lost.
+	Era uint64
+	// Revision increases with each change within an era, and may go back when a new
+	// one begins. 0 means that the object does not exist.
+	Revision uint64
+}
+
+// Next returns the version of the next change within the era.
+func (v Version) Next() Version { return Version{v.Era, v.Revision + 1} }
+
+// Before reports whether v is of an earlier era than other, or earlier in the same
+// era.
+func (v Version) Before(other Version) bool {
+	if v.Era != other.Era {
+		return v.Era < other.Era
+	}
+	return v.Revision < other.Revision
+}
 
 // Member is a gateway, as registered in the platform's directory or reported by
 // a peer.
--- a/pkg/oriole/orioleassign/leadership.go
+++ b/pkg/oriole/orioleassign/leadership.go
@@ -44,7 +44,7 @@
 // receive handles an assignment that its leader has published.
 func (m *Machine) receive(a oriole.Assignment) {
 	if !m.hasCurrent || a.Newer(&m.current) {
-		m.setCurrent(a, 0, false)
+		m.setCurrent(a, oriole.Version{}, false)
 	}
 }
 
--- a/pkg/oriole/orioleassign/sim_test.go
+++ b/pkg/oriole/orioleassign/sim_test.go
@@ -318,7 +318,9 @@
 	started := s.clock.Now()
 	reply = s.lateResponse(reply)
 	if s.store.down || s.store.unreachableFrom[g.name] || s.rng.Float64() < s.faultRate {
-		reply(200*time.Millisecond, func() { g.machine.ReadDone(s.clock.Now(), started, oriole.Assignment{}, 0, stale, errTimeout) })
+		reply(200*time.Millisecond, func() {
+			g.machine.ReadDone(s.clock.Now(), started, oriole.Assignment{}, oriole.Version{}, stale, errTimeout)
+		})
 		return
 	}
 	s.schedule(s.delay(), func() {
@@ -339,24 +341,24 @@
 		return func() { g.machine.WriteDone(s.clock.Now(), started, w.Assignment.Clone(), version, err) }
 	}
 	if s.store.down || s.store.unreachableFrom[g.name] {
-		reply(200*time.Millisecond, done(0, oriole.ErrBusy))
+		reply(200*time.Millisecond, done(oriole.Version{}, oriole.ErrBusy))
 		return
 	}
 	apply := func() (oriole.Version, error) {
 		if w.Expected != s.store.version {
-			return 0, oriole.ErrConflict
+			return oriole.Version{}, oriole.ErrConflict
 		}
 		s.store.assignment, s.store.exists = w.Assignment.Clone(), true
-		s.store.version++
+		s.store.version = s.store.version.Next()
 		return s.store.version, nil
 	}
 	switch roll := s.rng.Float64(); {
 	case roll < s.faultRate/2:
 		s.schedule(s.delay(), func() { _, _ = apply() })
-		reply(1500*time.Millisecond, done(0, errTimeout))
+		reply(1500*time.Millisecond, done(oriole.Version{}, errTimeout))
 	case roll < s.faultRate:
 		s.schedule(time.Duration(1000+s.rng.IntN(5000))*time.Millisecond, func() { _, _ = apply() })
-		reply(1500*time.Millisecond, done(0, errTimeout))
+		reply(1500*time.Millisecond, done(oriole.Version{}, errTimeout))
 	default:
 		s.schedule(s.delay(), func() {
 			version, err := apply()
--- a/pkg/oriole/orioleassign/store.go
+++ b/pkg/oriole/orioleassign/store.go
@@ -20,7 +20,7 @@
 	switch {
 	case errors.Is(err, oriole.ErrNotFound):
 		if !stale && !m.leading && (!m.hasCurrent || m.current.Term == 0) {
-			m.setCurrent(oriole.Assignment{Service: m.cfg.Service}, 0, true)
+			m.setCurrent(oriole.Assignment{Service: m.cfg.Service}, version, true)
 		}
 	case err != nil:
 		m.nextRead = now.Add(readRetryDelay)
@@ -47,7 +47,7 @@
 		if !stale {
 			m.confirmLeadership(started)
 		}
-		if version < m.version || (m.versionExact && version == m.version) {
+		if version.Before(m.version) || (m.versionExact && version == m.version) {
 			// Nothing has changed, or the read is older than a write that has
 			// been answered meanwhile.
 			return
--- a/pkg/oriole/orioleassign/takeover_test.go
+++ b/pkg/oriole/orioleassign/takeover_test.go
@@ -64,7 +64,7 @@
 	x.old.pendingWrite = &next
 	started := x.now
 	x.now = x.now.Add(10 * time.Millisecond)
-	x.old.WriteDone(x.now, started, next, x.old.version+1, nil)
+	x.old.WriteDone(x.now, started, next, x.old.version.Next(), nil)
 	_, _, _, releases := x.effects(x.old)
 	x.Equal(len(releases), 1)
 	return releases[0]
@@ -83,7 +83,7 @@
 		next.Ranges[i].Fence = next.Fence
 	}
 	x.new.pendingWrite = &next
-	x.new.WriteDone(x.now, x.now, next, x.old.version+1, nil)
+	x.new.WriteDone(x.now, x.now, next, x.old.version.Next(), nil)
 }
 
 // TestNewLeaderWaitsForMovesOfPriorLeader plays the shortest history of two
@@ -181,7 +181,7 @@
 	x.old.startWrite(x.now, next)
 	x.old.stepDown("store is reachable only by other gateways")
 	x.old.resignedTerm = x.old.current.Term
-	x.old.WriteDone(x.now.Add(time.Second), x.now, next, x.old.version+1, nil)
+	x.old.WriteDone(x.now.Add(time.Second), x.now, next, x.old.version.Next(), nil)
 	x.True(!x.old.Leading())
 	x.Equal(x.old.MinRenewTerm(), x.old.current.Term+1)
 }
