Directory feeds continue across a restore of the store

Cause: revisions go back with a restore. The watcher got 410, listed again and relayed the list, but every other gateway had seen a higher revision before and ignored it and the updates after it. Since updates kept coming, none of them called the directory itself. A gateway whose revision the restored store had passed again would have missed the changes between without an error.

"directory restored" is logged with both versions.

Evidence: the tests named for these cases.

--- a/internal/oriolerouter/oriolelog/message.go
+++ b/internal/oriolerouter/oriolelog/message.go
@@ -48,6 +48,8 @@
 	MessageZoneChanged       = "zone"
 	MessageDirectoryLost     = "directory lost"
 	MessageDirectoryRegained = "directory regained"
+	// MessageDirectoryRestored says that the directory came back from an older copy.
+	MessageDirectoryRestored = "directory restored"
 	MessagePeerHeard         = "peer heard"
 	MessagePeerLost          = "peer lost"
 	MessageCrashRecorded     = "request blamed for the end of its upstream"
--- a/internal/oriolerouter/oriolestate/follow.go
+++ b/internal/oriolerouter/oriolestate/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/pkg/errors"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
@@ -116,6 +117,7 @@
 		return
 	}
 	d.listed = true
+	d.noteEra(ctx, version)
 	d.apply(ctx, true, changes, version)
 }
 
@@ -180,6 +182,7 @@
 		// An earlier update was lost.
 		d.watch(ctx)
 	default:
+		d.noteEra(ctx, version)
 		if feed.Reset || len(changes) > 0 {
 			d.tracker.enqueue(ctx, d.newUpdate(feed.Reset, changes))
 		}
@@ -187,6 +190,18 @@
 	}
 }
 
+// noteEra tells the state duty if the next update is the list of a store that was
+// restored since the last one.
+func (d *followDuty[T]) noteEra(ctx context.Context, next oriole.Version) {
+	if d.version == (oriole.Version{}) || next.Era == d.version.Era {
+		return
+	}
+	d.tracker.cfg.Log.WithFields(log.Fields{
+		"feed": d.kind, "era": next.Era, "version": next.Revision, "oldera": d.version.Era, "oldversion": d.version.Revision,
+	}).Warn(oriolelog.MessageDirectoryRestored)
+	d.tracker.enqueue(ctx, restoredUpdate{d.kind})
+}
+
 // backOff records the result of a directory call and reports whether the call
 // failed. After a failure it pauses, longer each time.
 func (d *followDuty[T]) backOff(ctx context.Context, err error) bool {
--- a/internal/oriolerouter/oriolestate/tracker.go
+++ b/internal/oriolerouter/oriolestate/tracker.go
@@ -100,6 +100,20 @@
 	coldUntil map[oriole.ZoneName]time.Time
 	// listed holds the kinds of entries of which an update has been applied.
 	listed map[string]bool
+	// restoredAt holds for each kind of entries when the directory was last found
+	// to have come back from an older copy.
+	restoredAt map[string]time.Time
+}
+
+func newBookkeeping(cfg Config) *bookkeeping {
+	return &bookkeeping{
+		cfg:        cfg,
+		missing:    make(map[oriole.ServerID]bool),
+		departedAt: make(map[oriole.Incarnation]time.Time),
+		coldUntil:  make(map[oriole.ZoneName]time.Time),
+		listed:     make(map[string]bool),
+		restoredAt: make(map[string]time.Time),
+	}
 }
 
 // New returns the subtree.
@@ -226,13 +240,7 @@
 }
 
 func newStateDuty(t *Tracker) *stateDuty {
-	return &stateDuty{t, &bookkeeping{
-		cfg:        t.cfg,
-		missing:    make(map[oriole.ServerID]bool),
-		departedAt: make(map[oriole.Incarnation]time.Time),
-		coldUntil:  make(map[oriole.ZoneName]time.Time),
-		listed:     make(map[string]bool),
-	}}
+	return &stateDuty{t, newBookkeeping(t.cfg)}
 }
 
 func (d *stateDuty) String() string { return "believe" }
--- a/internal/oriolerouter/oriolestate/tracker_test.go
+++ b/internal/oriolerouter/oriolestate/tracker_test.go
@@ -57,10 +57,8 @@
 
 // apply applies updates to a copy of the state.
 func apply(tracker *Tracker, state *oriole.ClusterState, updates ...update) *oriole.ClusterState {
-	b := &bookkeeping{
-		cfg: tracker.cfg, now: tracker.cfg.Timers.Now(), missing: make(map[oriole.ServerID]bool),
-		departedAt: make(map[oriole.Incarnation]time.Time), coldUntil: make(map[oriole.ZoneName]time.Time), listed: make(map[string]bool),
-	}
+	b := newBookkeeping(tracker.cfg)
+	b.now = tracker.cfg.Timers.Now()
 	state = state.Clone()
 	for _, u := range updates {
 		u.apply(state, b)
@@ -186,3 +184,86 @@
 		newEvacuationUpdate(false, []oriole.Change[oriole.ZoneName]{{Name: "z2", Removed: true}}))
 	is.True(state.Upstreams["c"].ColdUntil.IsZero())
 }
+
+// restoredFeed is the configurations of a directory that was restored: a watch
+// from a version of another era must list again.
+type restoredFeed struct {
+	version oriole.Version
+	entries []oriole.Change[*oriole.Config]
+	lists   int
+}
+
+func (f *restoredFeed) List(context.Context) ([]oriole.Change[*oriole.Config], oriole.Version, error) {
+	f.lists++
+	return f.entries, f.version, nil
+}
+
+func (f *restoredFeed) Watch(_ context.Context, after oriole.Version, _ time.Duration) ([]oriole.Change[*oriole.Config], oriole.Version, error) {
+	if after.Era != f.version.Era {
+		return nil, after, oriole.ErrHistoryGone
+	}
+	return nil, f.version, nil
+}
+
+// followConfigs returns a duty that has followed the configurations up to a version
+// of the first era, and a function that returns the version in force.
+func followConfigs(feed oriole.Feed[*oriole.Config]) (d *followDuty[*oriole.Config], inForce func() oriole.ConfigVersion) {
+	tracker := newTracker(&manualClock{now: time.Unix(1000, 0)})
+	d = &followDuty[*oriole.Config]{
+		tracker: tracker, kind: oriolemessage.KindConfigs, feed: feed, newUpdate: newConfigUpdate,
+		encode: (*oriolemessage.Entry).SetConfig, decode: oriolemessage.Entry.ToConfig, backoff: initialBackoff,
+		version: oriole.Version{Era: 1, Revision: 140}, listed: true,
+	}
+	state := oriole.NewClusterState()
+	return d, func() oriole.ConfigVersion {
+		for {
+			select {
+			case u := <-tracker.updates.Out():
+				state = apply(tracker, state, u)
+			default:
+				return state.Config.Version
+			}
+		}
+	}
+}
+
+func configChange(version oriole.ConfigVersion) []oriole.Change[*oriole.Config] {
+	return []oriole.Change[*oriole.Config]{{Name: "main", Value: &oriole.Config{Version: version}}}
+}
+
+func relayedConfig(reset bool, era, prev, version uint64, cfg oriole.ConfigVersion) *oriolemessage.Feed {
+	return &oriolemessage.Feed{
+		Kind: oriolemessage.KindConfigs, Reset: reset, Era: era, PrevVersion: prev, Version: version,
+		Entries: oriolemessage.FromChanges(configChange(cfg), (*oriolemessage.Entry).SetConfig),
+	}
+}
+
+// TestConfigurationOfRestoredDirectoryTakesEffect guards against dropping the
+// watcher's updates because the directory's revisions went back.
+func TestConfigurationOfRestoredDirectoryTakesEffect(t *testing.T) {
+	is := is.New(t)
+	d, inForce := followConfigs(&restoredFeed{})
+	ctx := context.Background()
+	d.applyRelayed(ctx, relayedConfig(true, 2, 140, 131, 12))
+	is.Equal(inForce(), oriole.ConfigVersion(12))
+	d.applyRelayed(ctx, relayedConfig(false, 2, 131, 133, 14))
+	is.Equal(inForce(), oriole.ConfigVersion(14))
+	// An update that the watcher relayed before the restore is older.
+	d.applyRelayed(ctx, relayedConfig(false, 1, 140, 145, 13))
+	is.Equal(d.version, oriole.Version{Era: 2, Revision: 133})
+}
+
+// TestMissedRestoreListsAgain guards against missing the changes of a directory that
+// was restored while its revisions have passed the known one again.
+func TestMissedRestoreListsAgain(t *testing.T) {
+	is := is.New(t)
+	feed := &restoredFeed{version: oriole.Version{Era: 2, Revision: 150}, entries: configChange(14)}
+	d, inForce := followConfigs(feed)
+	ctx := context.Background()
+	d.applyRelayed(ctx, relayedConfig(false, 2, 149, 150, 13))
+	is.True(!d.listed)
+	d.list(ctx)
+	is.Equal(feed.lists, 1)
+	is.Equal(inForce(), oriole.ConfigVersion(14))
+	is.Equal(d.version, feed.version)
+}
--- a/internal/oriolerouter/oriolestate/update.go
+++ b/internal/oriolerouter/oriolestate/update.go
@@ -272,6 +272,15 @@
 
 func (failureUpdate) apply(_ *oriole.ClusterState, b *bookkeeping) { b.lastFailure = b.now }
 
+// restoredUpdate reports that the next list of a kind is that of a directory which
+// has come back from an older copy. What it lacks may be written again soon.
+type restoredUpdate struct{ kind string }
+
+func (u restoredUpdate) apply(_ *oriole.ClusterState, b *bookkeeping) {
+	b.restoredAt[u.kind] = b.now
+	b.lastFailure = b.now
+}
+
 type sweepUpdate struct{}
 
 func (sweepUpdate) apply(state *oriole.ClusterState, b *bookkeeping) { b.sweep(state) }
--- a/internal/orioletrace/trace.go
+++ b/internal/orioletrace/trace.go
@@ -107,7 +107,7 @@
 // requests.
 func isGlobal(message string) bool {
 	return slices.Contains([]string{
-		oriolelog.MessageConfigApplied, oriolelog.MessageZoneChanged, oriolelog.MessageDirectoryLost, oriolelog.MessageDirectoryRegained,
+		oriolelog.MessageConfigApplied, oriolelog.MessageZoneChanged, oriolelog.MessageDirectoryLost, oriolelog.MessageDirectoryRegained, oriolelog.MessageDirectoryRestored,
 		oriolelog.MessageLeaderElected, oriolelog.MessageStepDown,
 	}, message)
 }
