Entries of a restored directory are not taken at their word

An evacuated zone, or a gateway that had just registered, was as likely to be forgotten.

Cause: the list of a restored directory was applied like any other. It shows upstreams that have left since the copy as they were before, a draining one as ready, and lacks what was written since: evacuations, gateways, upstreams that joined. Their writers write them again a moment later; a gateway didn't.

An incarnation that drains never stops doing so, and the entry of an earlier gateway on a VM never replaces a later one's. A gateway whose own entry is lost registers again. Zones that end their evacuation by missing from a list now count as returning, too.

--- a/internal/oriolerouter/duties.go
+++ b/internal/oriolerouter/duties.go
@@ -21,7 +21,8 @@
 // Serve implements suture.Service.
 func (d timerDuty) Serve(ctx context.Context) error { return d.timers.Serve(ctx) }
 
-// announceDuty registers the gateway in the directory.
+// announceDuty registers the gateway in the directory, and again when the directory
+// has lost the entry.
 type announceDuty struct {
 	router *Router
 	once   sync.Once
@@ -34,13 +35,25 @@
 
 // Serve implements suture.Service.
 func (d *announceDuty) Serve(ctx context.Context) error {
+	for {
+		d.announce(ctx)
+		select {
+		case <-d.router.announceRequested:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// announce registers the gateway unless it drains. It retries until it succeeds.
+func (d *announceDuty) announce(ctx context.Context) {
 	r := d.router
 	for ctx.Err() == nil && !r.draining.Load() {
 		err := r.platform.Directory.Announce(ctx, r.self)
 		if err == nil {
 			r.log.Info("announced")
 			d.once.Do(func() { close(r.announced) })
-			break
+			return
 		}
 		r.log.WithError(err).Warn("cannot announce gateway in the directory")
 		timer := time.NewTimer(announceRetryInterval)
@@ -50,8 +63,6 @@
 			timer.Stop()
 		}
 	}
-	<-ctx.Done()
-	return ctx.Err()
 }
 
 // membersDuty updates the links when gateways are added to or removed from the
--- a/internal/oriolerouter/oriolestate/tracker.go
+++ b/internal/oriolerouter/oriolestate/tracker.go
@@ -45,6 +45,9 @@
 	Log       log.Interface
 	// BroadcastUpdate sends a directory update to all peers.
 	BroadcastUpdate func(*oriolemessage.Feed)
+	// RequestAnnounce is called when the directory was restored and no longer lists
+	// this gateway. It must not block.
+	RequestAnnounce func()
 	// Announced is closed once the directory lists this gateway.
 	Announced <-chan struct{}
 	// ApplyOverlay applies this gateway's overlay to a published configuration.
@@ -103,6 +106,14 @@
 	// restoredAt holds for each kind of entries when the directory was last found
 	// to have come back from an older copy.
 	restoredAt map[string]time.Time
+	// left holds the upstreams that have left, held those of them that a restored
+	// directory lists.
+	left map[oriole.ServerID]leftUpstream
+	held map[oriole.ServerID]oriole.Upstream
+	// unlistedZones and unlistedGateways hold the evacuated zones and the gateways
+	// that the directory's last list lacks and that are not dropped yet.
+	unlistedZones    map[oriole.ZoneName]bool
+	unlistedGateways map[oriole.GatewayID]bool
 }
 
 func newBookkeeping(cfg Config) *bookkeeping {
@@ -113,9 +124,19 @@
 		coldUntil:  make(map[oriole.ZoneName]time.Time),
 		listed:     make(map[string]bool),
 		restoredAt: make(map[string]time.Time),
+		left:       make(map[oriole.ServerID]leftUpstream),
+		held:       make(map[oriole.ServerID]oriole.Upstream),
+
+		unlistedZones:    make(map[oriole.ZoneName]bool),
+		unlistedGateways: make(map[oriole.GatewayID]bool),
 	}
 }
 
+// sweepNeeded reports whether a sweep may change anything.
+func (b *bookkeeping) sweepNeeded() bool {
+	return len(b.missing)+len(b.departedAt)+len(b.held)+len(b.unlistedZones)+len(b.unlistedGateways) > 0
+}
+
 // New returns the subtree.
 func New(cfg Config, spec suture.Spec) *Tracker {
 	t := &Tracker{
@@ -255,7 +276,7 @@
 		select {
 		case next = <-t.updates.Out():
 		case <-ticks:
-			if len(b.missing) == 0 && len(b.departedAt) == 0 {
+			if !b.sweepNeeded() {
 				continue
 			}
 			next = sweepUpdate{}
--- a/internal/oriolerouter/oriolestate/tracker_test.go
+++ b/internal/oriolerouter/oriolestate/tracker_test.go
@@ -34,6 +34,7 @@
 		Self: oriole.Member{ID: "vm.1", VM: "vm"}, Directory: noDirectory{}, Timers: clock,
 		Log:               &log.Logger{Handler: discard.New()},
 		BroadcastUpdate:   func(*oriolemessage.Feed) {},
+		RequestAnnounce:   func() {},
 		RequestAssignment: func(oriole.ServiceName, oriole.GatewayID) {},
 		ApplyOverlay:      func(cfg *oriole.Config) *oriole.Config { return cfg },
 	}, suture.Spec{})
@@ -267,3 +268,150 @@
 	is.Equal(inForce(), oriole.ConfigVersion(14))
 	is.Equal(d.version, feed.version)
 }
+
+// restoredTracker applies updates to one state, at a clock that the test advances.
+type restoredTracker struct {
+	clock     *manualClock
+	b         *bookkeeping
+	state     *oriole.ClusterState
+	announced int
+}
+
+func newRestoredTracker() *restoredTracker {
+	r := &restoredTracker{clock: &manualClock{now: time.Unix(1000, 0)}, state: oriole.NewClusterState()}
+	tracker := newTracker(r.clock)
+	tracker.cfg.RequestAnnounce = func() { r.announced++ }
+	r.b = newBookkeeping(tracker.cfg)
+	return r
+}
+
+func (r *restoredTracker) apply(updates ...update) {
+	r.b.now = r.clock.now
+	r.state = r.state.Clone()
+	for _, u := range updates {
+		u.apply(r.state, r.b)
+	}
+}
+
+// after advances the clock and sweeps.
+func (r *restoredTracker) after(d time.Duration) {
+	r.clock.now = r.clock.now.Add(d)
+	r.apply(sweepUpdate{})
+}
+
+func upstreamEntry(name string, draining bool) oriole.Change[oriole.Upstream] {
+	return oriole.Change[oriole.Upstream]{Name: name, Value: oriole.Upstream{
+		ID: oriole.ServerID(name), Service: "s", Zone: "z1", StartedAt: time.UnixMilli(1), Draining: draining,
+	}}
+}
+
+func upstreamList(entries ...oriole.Change[oriole.Upstream]) update {
+	return newUpstreamUpdate(true, entries)
+}
+
+// TestUpstreamThatLeftStaysOutAfterRestore guards against sending requests to an
+// upstream because a restored directory lists it as it was before it left.
+func TestUpstreamThatLeftStaysOutAfterRestore(t *testing.T) {
+	is := is.New(t)
+	r := newRestoredTracker()
+	r.apply(upstreamList(upstreamEntry("gone", false), upstreamEntry("drains", true), upstreamEntry("stays", false), upstreamEntry("back", false)))
+	r.after(removalDelay)
+	removed := func(name string) oriole.Change[oriole.Upstream] {
+		return oriole.Change[oriole.Upstream]{Name: name, Removed: true}
+	}
+	r.apply(newUpstreamUpdate(false, []oriole.Change[oriole.Upstream]{removed("gone"), removed("back")}))
+	is.Equal(len(r.state.Upstreams), 2)
+
+	r.after(10 * time.Second)
+	r.apply(restoredUpdate{oriolemessage.KindUpstreams}, upstreamList(
+		upstreamEntry("gone", false), upstreamEntry("drains", false), upstreamEntry("stays", false), upstreamEntry("back", false)))
+	is.True(r.state.Upstreams["drains"].Draining)
+	is.True(!r.state.Upstreams["stays"].Draining)
+	is.Equal(len(r.state.Upstreams), 2)
+	// One that writes its entry again is there.
+	r.apply(newUpstreamUpdate(false, []oriole.Change[oriole.Upstream]{upstreamEntry("back", false)}))
+	is.Equal(len(r.state.Upstreams), 3)
+	r.apply(newUpstreamUpdate(false, []oriole.Change[oriole.Upstream]{removed("gone")}))
+	r.after(restoredHold)
+	is.Equal(len(r.state.Upstreams), 3)
+}
+
+// TestUpstreamListedAfterHoldIsUsed checks that an upstream which is still listed
+// after the others have expired is used again.
+func TestUpstreamListedAfterHoldIsUsed(t *testing.T) {
+	is := is.New(t)
+	r := newRestoredTracker()
+	r.apply(upstreamList(upstreamEntry("u", false)))
+	r.after(removalDelay)
+	r.apply(upstreamList())
+	is.Equal(len(r.state.Upstreams), 0)
+	r.apply(restoredUpdate{oriolemessage.KindUpstreams}, upstreamList(upstreamEntry("u", false)))
+	is.Equal(len(r.state.Upstreams), 0)
+	r.after(restoredHold)
+	is.Equal(len(r.state.Upstreams), 1)
+}
+
+// TestUpstreamMissingFromRestoredDirectoryIsKept guards against dropping an upstream
+// that joined after the copy was taken, before it writes its entry again.
+func TestUpstreamMissingFromRestoredDirectoryIsKept(t *testing.T) {
+	is := is.New(t)
+	r := newRestoredTracker()
+	r.apply(upstreamList(upstreamEntry("u", false)))
+	r.after(10 * time.Second)
+	r.apply(restoredUpdate{oriolemessage.KindUpstreams}, upstreamList())
+	is.Equal(len(r.state.Upstreams), 1)
+	r.after(removalDelay)
+	is.Equal(len(r.state.Upstreams), 0)
+}
+
+// TestEvacuationOutlivesRestore guards against sending requests to an evacuated zone
+// before the operator's entry is written again.
+func TestEvacuationOutlivesRestore(t *testing.T) {
+	is := is.New(t)
+	zone := oriole.Change[oriole.ZoneName]{Name: "z1", Value: "z1"}
+	r := newRestoredTracker()
+	r.apply(upstreamList(upstreamEntry("u", false)), newEvacuationUpdate(true, nil), newEvacuationUpdate(false, []oriole.Change[oriole.ZoneName]{zone}))
+	r.after(10 * time.Second)
+	r.apply(restoredUpdate{oriolemessage.KindZones}, newEvacuationUpdate(true, nil))
+	is.True(r.state.Evacuated["z1"])
+	r.apply(newEvacuationUpdate(false, []oriole.Change[oriole.ZoneName]{zone}))
+	r.after(restoredHold)
+	is.True(r.state.Evacuated["z1"])
+
+	// An evacuation that isn't written again has ended.
+	r.apply(restoredUpdate{oriolemessage.KindZones}, newEvacuationUpdate(true, nil))
+	r.after(restoredHold)
+	is.True(!r.state.Evacuated["z1"])
+	is.Equal(r.state.Upstreams["u"].ColdUntil, r.clock.now.Add(returnColdness))
+}
+
+// TestGatewaysOutliveRestore guards against forgetting live gateways, this one among
+// them, because a restored directory lacks their entries.
+func TestGatewaysOutliveRestore(t *testing.T) {
+	is := is.New(t)
+	member := func(vm string, run int64) oriole.Member {
+		return oriole.Member{ID: oriole.NewGatewayID(vm, time.Unix(run, 0)), VM: vm, Zone: "z1"}
+	}
+	change := func(m oriole.Member) oriole.Change[oriole.Member] {
+		return oriole.Change[oriole.Member]{Name: m.VM, Value: m}
+	}
+	old, next, draining := member("a", 1), member("a", 2), member("b", 1)
+	dead := member("c", 1)
+	r := newRestoredTracker()
+	r.apply(newGatewayUpdate(true, []oriole.Change[oriole.Member]{change(next), change(draining), change(dead)}))
+	draining.Draining = true
+	r.apply(peerUpdate{draining}, livenessUpdate{map[oriole.GatewayID]bool{next.ID: true, draining.ID: true}})
+	is.Equal(r.announced, 0)
+
+	r.apply(restoredUpdate{oriolemessage.KindGateways}, newGatewayUpdate(true, []oriole.Change[oriole.Member]{change(old), change(member("b", 1))}))
+	is.Equal(r.announced, 1)
+	_, found := r.state.Gateways[old.ID]
+	is.True(!found)
+	is.Equal(r.state.Gateways[next.ID], next)
+	is.True(r.state.Gateways[draining.ID].Draining)
+	r.after(restoredHold)
+	is.Equal(len(r.state.Gateways), 3) // this one included
+
+	r.apply(restoredUpdate{oriolemessage.KindGateways}, newGatewayUpdate(true, []oriole.Change[oriole.Member]{change(next), change(r.b.cfg.Self)}))
+	is.Equal(r.announced, 1)
+}
--- a/internal/oriolerouter/oriolestate/update.go
+++ b/internal/oriolerouter/oriolestate/update.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/apex/log"
 
+	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
 	"github.com/orioleswitch/orioleswitch/internal/oriolerouter/oriolelog"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 )
@@ -50,13 +51,20 @@
 	}
 	for _, change := range u.changes {
 		id := oriole.ServerID(change.Name)
+		delete(b.held, id)
+		_, known := state.Upstreams[id]
 		if change.Removed {
-			if _, known := state.Upstreams[id]; known {
+			if known {
 				b.missing[id] = true
 			}
 			continue
 		}
 		delete(b.missing, id)
+		if u.reset && !known && b.recentlyRestored(oriolemessage.KindUpstreams) && b.hasLeft(change.Value) {
+			// The entry may be older than the upstream's departure.
+			b.held[id] = change.Value
+			continue
+		}
 		b.setUpstream(state, change.Value)
 	}
 	if !b.listed["upstreams"] {
@@ -67,7 +75,8 @@
 }
 
 // setUpstream adds or replaces an upstream. An entry of an earlier incarnation
-// than the known one is stale and ignored.
+// than the known one is stale and ignored. An incarnation that drains never stops
+// doing so: an entry that says otherwise is older.
 func (b *bookkeeping) setUpstream(state *oriole.ClusterState, u oriole.Upstream) {
 	old, known := state.Upstreams[u.ID]
 	if known && old.StartedAt.After(u.StartedAt) {
@@ -79,9 +88,19 @@
 	if until := b.coldUntil[u.Zone]; b.now.Before(until) && u.ColdUntil.Before(until) {
 		u.ColdUntil = until
 	}
-	if known && old.Incarnation() != u.Incarnation() {
+	switch {
+	case known && old.Incarnation() == u.Incarnation():
+		u.Draining = u.Draining || old.Draining
+		if b.recentlyRestored(oriolemessage.KindUpstreams) && u.ColdUntil.Before(old.ColdUntil) {
+			u.ColdUntil = old.ColdUntil
+		}
+	case known:
 		b.markDeparted(state, old)
 	}
+	if left := b.left[u.ID]; left.startedAt.Equal(u.StartedAt) {
+		u.Draining = u.Draining || left.draining
+		delete(b.left, u.ID)
+	}
 	changed := !known || old.Incarnation() != u.Incarnation() || old.Draining != u.Draining || old.Addr != u.Addr
 	if changed && b.listed["upstreams"] {
 		b.cfg.Log.WithFields(log.Fields{
@@ -97,6 +116,7 @@
 func (b *bookkeeping) markDeparted(state *oriole.ClusterState, u oriole.Upstream) {
 	state.EditDeparted()[u.Incarnation()] = u
 	b.departedAt[u.Incarnation()] = b.now
+	b.recordLeft(u)
 }
 
 // sweep removes missing upstreams once no call to the directory has failed for
@@ -119,6 +139,7 @@
 			delete(state.EditDeparted(), incarnation)
 		}
 	}
+	b.sweepRestored(state)
 	state.DirectoryLoaded = b.listed["upstreams"] && b.listed["outs"] && b.listed["gateways"]
 }
 
@@ -134,15 +155,15 @@
 func (u evacuationUpdate) apply(state *oriole.ClusterState, b *bookkeeping) {
 	evacuated := state.EditEvacuated()
 	if u.reset {
-		clear(evacuated)
+		for zone := range evacuated {
+			b.unlistedZones[zone] = true
+		}
 	}
 	for _, change := range u.changes {
 		zone := oriole.ZoneName(change.Name)
+		delete(b.unlistedZones, zone)
 		if change.Removed {
-			if evacuated[zone] {
-				b.limitReturning(state, zone)
-			}
-			delete(evacuated, zone)
+			b.endEvacuation(state, zone)
 		} else {
 			evacuated[zone] = true
 		}
@@ -152,6 +173,14 @@
 	b.sweep(state)
 }
 
+// endEvacuation removes the zone from those that are evacuated.
+func (b *bookkeeping) endEvacuation(state *oriole.ClusterState, zone oriole.ZoneName) {
+	if state.Evacuated[zone] {
+		b.limitReturning(state, zone)
+		delete(state.EditEvacuated(), zone)
+	}
+}
+
 // limitReturning counts the upstreams of a zone that is no longer evacuated as
 // cold: they may have become so, and their entries show it only later.
 func (b *bookkeeping) limitReturning(state *oriole.ClusterState, zone oriole.ZoneName) {
@@ -177,27 +206,53 @@
 
 func (u gatewayUpdate) apply(state *oriole.ClusterState, b *bookkeeping) {
 	gateways := state.EditGateways()
-	if u.reset {
+	restored := u.reset && b.recentlyRestored(oriolemessage.KindGateways)
+	switch {
+	case restored:
+		for id := range gateways {
+			if id != b.cfg.Self.ID {
+				b.unlistedGateways[id] = true
+			}
+		}
+	case u.reset:
 		clear(gateways)
 		gateways[b.cfg.Self.ID] = b.cfg.Self
 	}
+	selfListed := false
 	for _, change := range u.changes {
-		// Entries are keyed by VM, so a new gateway replaces the earlier one on
-		// the same VM.
-		for id, m := range gateways {
-			if m.VM == change.Name && id != b.cfg.Self.ID {
-				delete(gateways, id)
-			}
-		}
-		if change.Removed || change.Value.VM == b.cfg.Self.VM {
-			continue
-		}
-		gateways[change.Value.ID] = change.Value
+		selfListed = selfListed || (!change.Removed && change.Value.ID == b.cfg.Self.ID)
+		u.applyChange(gateways, change, b)
+	}
+	if restored && !selfListed {
+		b.cfg.RequestAnnounce()
 	}
 	b.listed["gateways"] = true
 	b.sweep(state)
 }
 
+// applyChange applies the change of one entry. Entries are keyed by VM, so that a new
+// gateway replaces the earlier one on the same VM; the entry of an earlier one is
+// stale.
+func (u gatewayUpdate) applyChange(gateways map[oriole.GatewayID]oriole.Member, change oriole.Change[oriole.Member], b *bookkeeping) {
+	next := change.Value
+	for id, m := range gateways {
+		switch {
+		case m.VM != change.Name || id == b.cfg.Self.ID:
+		case !change.Removed && id.Supersedes(next.ID):
+			return
+		case !change.Removed && id == next.ID:
+			next.Draining = next.Draining || m.Draining
+		default:
+			delete(gateways, id)
+		}
+	}
+	if change.Removed || next.VM == b.cfg.Self.VM {
+		return
+	}
+	delete(b.unlistedGateways, next.ID)
+	gateways[next.ID] = next
+}
+
 // peerUpdate is a gateway's entry as the gateway itself reports it.
 type peerUpdate struct{ member oriole.Member }
 
@@ -272,15 +327,6 @@
 
 func (failureUpdate) apply(_ *oriole.ClusterState, b *bookkeeping) { b.lastFailure = b.now }
 
-// restoredUpdate reports that the next list of a kind is that of a directory which
-// has come back from an older copy. What it lacks may be written again soon.
-type restoredUpdate struct{ kind string }
-
-func (u restoredUpdate) apply(_ *oriole.ClusterState, b *bookkeeping) {
-	b.restoredAt[u.kind] = b.now
-	b.lastFailure = b.now
-}
-
 type sweepUpdate struct{}
 
 func (sweepUpdate) apply(state *oriole.ClusterState, b *bookkeeping) { b.sweep(state) }
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -86,6 +86,9 @@
 	clock        *orioletelemetry.LogicalClock
 	// announced is closed once the directory lists this gateway.
 	announced chan struct{}
+	// announceRequested receives a value when the directory has lost this gateway's
+	// entry.
+	announceRequested chan struct{}
 	// drainRequested receives a value when an operator requests a drain.
 	drainRequested chan struct{}
 }
@@ -130,7 +133,8 @@
 		clock:          &orioletelemetry.LogicalClock{},
 		drainRequested: make(chan struct{}, 1),
 
-		announced: make(chan struct{}),
+		announced:         make(chan struct{}),
+		announceRequested: make(chan struct{}, 1),
 	}
 	if settings.AdvertisedAddr.IsValid() {
 		r.self.PeerAddr = settings.AdvertisedAddr
@@ -151,7 +155,7 @@
 	r.Supervisor = suture.New("gateway", spec)
 	r.tracker = oriolestate.New(oriolestate.Config{
 		Self: r.self, Directory: r.platform.Directory, Timers: r.timers, Log: r.log, BroadcastUpdate: r.broadcastUpdate, RequestAssignment: r.requestAssignment,
-		ApplyOverlay: r.applyOverlay, Announced: r.announced,
+		ApplyOverlay: r.applyOverlay, Announced: r.announced, RequestAnnounce: r.requestAnnounce,
 	}, spec)
 	r.links = oriolelink.New(oriolelink.Config{
 		Self: r.self, Metrics: r.metrics, Timers: r.timers, Log: r.log, Clock: r.clock, Secret: r.settings.Secret,
@@ -244,6 +248,14 @@
 	r.links.Broadcast(&oriolemessage.Frame{Feed: f})
 }
 
+// requestAnnounce has this gateway registered again.
+func (r *Router) requestAnnounce() {
+	select {
+	case r.announceRequested <- struct{}{}:
+	default:
+	}
+}
+
 // reportCrash broadcasts the fingerprint of a request that crashed an upstream.
 func (r *Router) reportCrash(fingerprint oriolecrash.Fingerprint, incarnation oriole.Incarnation) {
 	r.links.Broadcast(&oriolemessage.Frame{CrashRecord: oriolemessage.FromCrashRecord(uint64(fingerprint), incarnation)})
