A leader stays when the store fails for everybody

Cause: at 18.883 s the leader stepped down because "store is reachable only by other gateways", 0.88 s after the store had failed for all. Heartbeats said that peers had reached the store within the last second: true, but before it failed. No successor can claim the leadership without the store, nobody renewed leases, and from 5 s after the last renewal no key had an owner until 26 s.

Change: heartbeats carry the age of the store's last response, and a leader resigns only for a response that is later than the first of its own failed calls.

--- a/internal/oriolemessage/message_gen.go
+++ b/internal/oriolemessage/message_gen.go
@@ -227,6 +227,10 @@
 	// StoreReachable reports whether the sender has reached the platform's store
 	// within the last second.
 	StoreReachable bool `json:"store"`
+
+	// StoreAge is the time in microseconds since the platform's store last responded
+	// to the sender, if StoreReachable is set.
+	StoreAge int64 `json:"storeage"`
 }
 
 // Hello is the first message on a link. It identifies the gateway that opened the
--- a/internal/oriolerouter/oriolelink/heartbeat.go
+++ b/internal/oriolerouter/oriolelink/heartbeat.go
@@ -40,7 +40,7 @@
 		}
 		now := p.cfg.Timers.Now()
 		next, heartbeat := p.tick(now)
-		p.sendHeartbeats(now, heartbeat, !reflect.DeepEqual(heartbeat, last))
+		p.sendHeartbeats(now, heartbeat, last == nil || hasChanged(*last, *heartbeat))
 		last = heartbeat
 		p.failUnresponsive(now)
 		if !maps.Equal(next, alive) {
@@ -50,6 +50,13 @@
 	}
 }
 
+// hasChanged reports whether the heartbeats differ in more than how old the sender's
+// last response of the store is.
+func hasChanged(last, next oriolemessage.Heartbeat) bool {
+	last.StoreAge = next.StoreAge
+	return !reflect.DeepEqual(last, next)
+}
+
 // tick updates the set of live gateways and returns it with the heartbeat to
 // send.
 func (p *Links) tick(now time.Time) (alive map[oriole.GatewayID]bool, heartbeat *oriolemessage.Heartbeat) {
--- a/internal/oriolerouter/oriolestate/tracker.go
+++ b/internal/oriolerouter/oriolestate/tracker.go
@@ -202,8 +202,11 @@
 // DirectoryReachable reports whether the directory has responded to this gateway
 // within reachableWindow. A gateway that applies the watcher's updates does not
 // call the directory, so a result of false does not show an outage.
-func (t *Tracker) DirectoryReachable() bool {
-	return t.cfg.Timers.Now().Sub(time.Unix(0, t.lastResponse.Load())) <= reachableWindow
+func (t *Tracker) DirectoryReachable() bool { return t.DirectoryAge() <= reachableWindow }
+
+// DirectoryAge returns the time since the directory last responded to this gateway.
+func (t *Tracker) DirectoryAge() time.Duration {
+	return t.cfg.Timers.Now().Sub(time.Unix(0, t.lastResponse.Load()))
 }
 
 // Subscribe returns a channel that receives a value at once and after each
--- a/internal/oriolerouter/receiver.go
+++ b/internal/oriolerouter/receiver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
@@ -31,6 +32,7 @@
 	return &oriolemessage.Heartbeat{
 		Draining:       v.router.draining.Load(),
 		StoreReachable: v.router.tracker.DirectoryReachable(),
+		StoreAge:       v.router.tracker.DirectoryAge().Microseconds(),
 		MinRenewTerms:  oriolemessage.FromMinRenewTerms(v.router.leader.MinRenewTerms()),
 	}
 }
@@ -67,7 +69,7 @@
 		r.leader.ReportUnreachable(ctx, service, incarnation)
 	case frame.Feed != nil:
 		r.tracker.HandleDirectoryUpdate(frame.Feed)
-		r.leader.PeerReachedStore(ctx)
+		r.leader.PeerReachedStore(ctx, 0)
 	case frame.Load != nil:
 		counts, durations := frame.Load.ToLoad()
 		r.leader.AddLoad(ctx, oriole.ServiceName(frame.Load.Service), counts, durations)
@@ -79,7 +81,7 @@
 	if heartbeat.StoreReachable {
 		// A gateway that can't reach the store learns from heartbeats that
 		// peers can, even while the watcher can't reach it either.
-		r.leader.PeerReachedStore(ctx)
+		r.leader.PeerReachedStore(ctx, time.Duration(heartbeat.StoreAge)*time.Microsecond)
 	}
 	for _, entry := range heartbeat.MinRenewTerms {
 		r.leader.SetPeerMinRenewTerm(ctx, from, oriole.ServiceName(entry.Service), entry.Term)
--- a/pkg/oriole/orioleassign/leadership.go
+++ b/pkg/oriole/orioleassign/leadership.go
@@ -20,15 +20,16 @@
 	return m.current.Term
 }
 
-// PeerReachedStore records that a peer reaches the store.
-func (m *Machine) PeerReachedStore(now time.Time) { m.peerReachedStore = now }
+// PeerReachedStore records that the store responded to a peer at the given time.
+func (m *Machine) PeerReachedStore(at time.Time) { m.peerReachedStore = later(m.peerReachedStore, at) }
 
 // resignIfCutOff resigns the leadership if this gateway can't reach the store
 // while others can: without the store a leader can renew leases, but not change
-// owners.
+// owners. If nobody reaches the store, leases are renewed only as long as the
+// leader stays, so that a response from before its own calls failed shows nothing.
 func (m *Machine) resignIfCutOff(now time.Time) {
 	cutOff := !m.storeFailingSince.IsZero() && now.Sub(m.storeFailingSince) >= storeFailureTimeout
-	if cutOff && now.Sub(m.peerReachedStore) < peerStoreValidity {
+	if cutOff && m.peerReachedStore.After(m.storeFailingSince) && now.Sub(m.peerReachedStore) < peerStoreValidity {
 		m.stepDown("store is reachable only by other gateways")
 		m.resignedTerm = m.current.Term
 	}
--- /dev/null
+++ b/pkg/oriole/orioleassign/resign_test.go
@@ -0,0 +1,43 @@
+package orioleassign
+
+import (
+	"testing"
+	"time"
+
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+)
+
+// failReads lets the leader's reads of the store fail for the given time.
+func (x *takeover) failReads(duration time.Duration, onRead func(now time.Time)) {
+	const interval = 100 * time.Millisecond
+	for started := x.now; x.now.Before(started.Add(duration)); x.now = x.now.Add(interval) {
+		if onRead != nil {
+			onRead(x.now)
+		}
+		x.old.startRead(x.now, false)
+		x.old.ReadDone(x.now.Add(interval/2), x.now, oriole.Assignment{}, oriole.Version{}, false, oriole.ErrBusy)
+	}
+}
+
+// TestLeaderStaysWhenNobodyReachesStore guards against leaving all keys without a
+// leader in an outage of the store, because peers reached it just before.
+func TestLeaderStaysWhenNobodyReachesStore(t *testing.T) {
+	x := newTakeover(t)
+	x.old.PeerReachedStore(x.now)
+	x.now = x.now.Add(10 * time.Millisecond)
+	x.failReads(2*time.Second, nil)
+	x.True(x.old.Leading())
+	// A report that arrives late doesn't show that the store is back.
+	x.old.PeerReachedStore(x.now.Add(-2 * time.Second))
+	x.failReads(time.Second, nil)
+	x.True(x.old.Leading())
+}
+
+// TestLeaderThatAloneMissesStoreResigns checks that peers which reach the store
+// replace a leader that doesn't.
+func TestLeaderThatAloneMissesStoreResigns(t *testing.T) {
+	x := newTakeover(t)
+	x.failReads(time.Second, func(now time.Time) { x.old.PeerReachedStore(now) })
+	x.True(!x.old.Leading())
+	x.Equal(x.old.MinRenewTerm(), x.old.current.Term+1)
+}
