A slow store does not delay a planned stop

Callers saw: with the store slow or silent when a gateway got its SIGTERM, new connections were taken for up to 1.5 s longer. Their requests were passed on late in the grace period and cut at its end.

Cause: Drain removed the gateway's directory entry, two calls to the store, before it began to count the time in which the load balancer still opens connections.

Change: that time counts from the start of the drain. The announce duty removes the entry beside the drain, and tries again until the process stops. Since the same duty adds the entry, a slow registration can no longer follow the removal.

Evidence: TestSilentDirectoryDoesNotDelayDrain failed before ("connections were accepted until the directory call had ended") and passes now.

--- /dev/null
+++ b/internal/oriolerouter/drain_test.go
@@ -0,0 +1,118 @@
+package oriolerouter_test
+
+import (
+	"context"
+	"net"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+
+	"github.com/orioleswitch/orioleswitch/internal/oriolerouter"
+	"github.com/orioleswitch/orioleswitch/internal/orioleupstream"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
+	"github.com/orioleswitch/orioleswitch/platform"
+	"github.com/orioleswitch/orioleswitch/platform/standin"
+)
+
+// gracePeriod is that of the users' small sites.
+const gracePeriod = 6 * time.Second
+
+// silentDirectory is a directory whose Withdraw gets no response.
+type silentDirectory struct {
+	oriole.Directory
+	withdrawing, withdrawn chan struct{}
+}
+
+func (d *silentDirectory) Withdraw(ctx context.Context, _ oriole.Member) error {
+	close(d.withdrawing)
+	<-ctx.Done()
+	close(d.withdrawn)
+	return ctx.Err()
+}
+
+// freeAddrs returns loopback addresses that nothing listens on.
+func freeAddrs(t *testing.T, n int) (addrs []netip.AddrPort) {
+	t.Helper()
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		addrs = append(addrs, netip.MustParseAddrPort(listener.Addr().String()))
+	}
+	return addrs
+}
+
+// startRouter starts a gateway with the directory that wrap returns for a client of
+// an empty store.
+func startRouter(t *testing.T, wrap func(oriole.Directory) oriole.Directory) (r *oriolerouter.Router, settings oriolerouter.Settings, stop func() error) {
+	t.Helper()
+	store := httptest.NewServer(standin.NewStore())
+	t.Cleanup(store.Close)
+	addrs := freeAddrs(t, 4)
+	settings = oriolerouter.Settings{
+		VM: "vm", Zone: "z", StoreAddr: netip.MustParseAddrPort(strings.TrimPrefix(store.URL, "http://")), MemoryLimit: 1 << 28, GracePeriod: gracePeriod,
+		CallerAddr: addrs[0], ReadinessAddr: addrs[1], PeerAddr: addrs[2], AdminAddr: addrs[3],
+	}
+	directory, closeDirectory := platform.New(settings.StoreAddr, func(string, string, error) {})
+	client, closeClient := orioleupstream.New()
+	leaser, closeLeaser := platform.NewLeaser()
+	r, closeRouter, err := oriolerouter.New(settings, oriolerouter.Platform{
+		Directory: wrap(directory), Dialect: platform.Dialect{}, Leaser: leaser,
+		Sender: orioleupstream.NewSender(client, platform.Dialect{}, orioletimer.New()), CloseIdleConns: client.CloseIdleConns,
+	}, &log.Logger{Handler: discard.New()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := r.ServeBackground(ctx)
+	stop = func() error {
+		cancel()
+		return <-done
+	}
+	t.Cleanup(func() {
+		cancel()
+		closeRouter()
+		closeLeaser()
+		closeClient()
+		closeDirectory()
+	})
+	return r, settings, stop
+}
+
+// TestSilentDirectoryDoesNotDelayDrain guards against a gateway that takes new
+// connections until the directory has responded.
+func TestSilentDirectoryDoesNotDelayDrain(t *testing.T) {
+	is := is.New(t)
+	directory := &silentDirectory{withdrawing: make(chan struct{}), withdrawn: make(chan struct{})}
+	r, settings, stop := startRouter(t, func(d oriole.Directory) oriole.Directory {
+		directory.Directory = d
+		return directory
+	})
+	drained := make(chan error, 1)
+	go func() { drained <- r.Drain(context.Background()) }()
+	<-directory.withdrawing
+	for {
+		conn, err := net.Dial("tcp", settings.CallerAddr.String())
+		if err != nil {
+			break
+		}
+		_ = conn.Close()
+		select {
+		case <-directory.withdrawn:
+			t.Fatal("connections were accepted until the directory call had ended")
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	is.NoErr(<-drained)
+	_ = stop()
+	<-directory.withdrawn
+}
--- a/internal/oriolerouter/duties.go
+++ b/internal/oriolerouter/duties.go
@@ -21,8 +21,9 @@
 // Serve implements suture.Service.
 func (d timerDuty) Serve(ctx context.Context) error { return d.timers.Serve(ctx) }
 
-// announceDuty registers the gateway in the directory, and again when the directory
-// has lost the entry.
+// announceDuty registers the gateway in the directory, again when the directory has
+// lost the entry, and removes the entry when the gateway drains. One duty does all,
+// so that a slow registration can't follow the removal.
 type announceDuty struct {
 	router *Router
 	once   sync.Once
@@ -30,7 +31,8 @@
 
 func (d *announceDuty) String() string { return "announce" }
 
-// announceRetryInterval is the time between attempts to register.
+// announceRetryInterval is the time between attempts to register, or to remove the
+// entry.
 const announceRetryInterval = 300 * time.Millisecond
 
 // Serve implements suture.Service.
@@ -39,6 +41,10 @@
 		d.announce(ctx)
 		select {
 		case <-d.router.announceRequested:
+		case <-d.router.drainStarted:
+			d.withdraw(ctx)
+			<-ctx.Done()
+			return ctx.Err()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -59,6 +65,27 @@
 		timer := time.NewTimer(announceRetryInterval)
 		select {
 		case <-timer.C:
+		case <-r.drainStarted:
+			timer.Stop()
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+// withdraw removes the gateway's entry. Until it succeeds, peers know of the drain
+// through the links, and the next gateway on this VM replaces the entry.
+func (d *announceDuty) withdraw(ctx context.Context) {
+	r := d.router
+	for ctx.Err() == nil {
+		err := r.platform.Directory.Withdraw(ctx, r.self)
+		if err == nil {
+			return
+		}
+		r.log.WithError(err).Warn("cannot remove gateway from the directory")
+		timer := time.NewTimer(announceRetryInterval)
+		select {
+		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
 		}
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -83,6 +83,8 @@
 	forwarder    *orioleingress.Forwarder
 	callerServer *orioleingress.Server
 	draining     atomic.Bool
+	// drainStarted is closed when the gateway starts to drain.
+	drainStarted chan struct{}
 	clock        *orioletelemetry.LogicalClock
 	// announced is closed once the directory lists this gateway.
 	announced chan struct{}
@@ -130,9 +132,9 @@
 			ID: oriole.NewGatewayID(settings.VM, time.Now()), VM: settings.VM, Zone: settings.Zone,
 			CallerAddr: settings.CallerAddr, PeerAddr: settings.PeerAddr, Weight: weightOrDefault(settings.Weight),
 		},
-		clock:          &orioletelemetry.LogicalClock{},
-		drainRequested: make(chan struct{}, 1),
-
+		clock:             &orioletelemetry.LogicalClock{},
+		drainRequested:    make(chan struct{}, 1),
+		drainStarted:      make(chan struct{}),
 		announced:         make(chan struct{}),
 		announceRequested: make(chan struct{}, 1),
 	}
@@ -322,20 +324,17 @@
 	ctx, cancel := context.WithTimeout(ctx, r.settings.GracePeriod-exitReserve)
 	defer cancel()
 	r.log.Info(oriolelog.MessageDraining)
-	r.draining.Store(true)
+	propagated := time.NewTimer(readinessPropagation)
+	defer propagated.Stop()
+	if !r.draining.Swap(true) {
+		close(r.drainStarted)
+	}
 	r.leader.Resign(ctx)
 	r.tracker.UpdateGateway(ctx, r.currentMember())
 	r.links.BroadcastHeartbeat()
 	r.callerServer.DisableKeepAlives()
-	if err := r.platform.Directory.Withdraw(ctx, r.self); err != nil {
-		// Peers learn of the drain through the links, and the next gateway on
-		// this VM replaces the entry.
-		r.log.WithError(err).Warn("cannot remove gateway from the directory")
-	}
-	timer := time.NewTimer(readinessPropagation)
-	defer timer.Stop()
 	select {
-	case <-timer.C:
+	case <-propagated.C:
 	case <-ctx.Done():
 	}
 	if err := r.callerServer.Shutdown(ctx, r.timers); err != nil {
