A draining gateway refuses requests that could outlast it

Callers saw: in a planned stop, requests that came late in the grace period were passed on and cut off at its end without a response, among them requests that must not be repeated.

Cause: nothing compared a request's deadline with the end of the grace period.

Change: oriolestop, a decision package, holds the schedule of a stop. A request is passed on only if its deadline is before the end of the stop, less the time to write the response. The forwarder asks before each attempt, also while it waits for an owner, and does not repeat a request that may have run. The front end does not read, or reads no further, the body of such a request. The response is 503 with the new reason "draining", outcome not-run, Retry-After, and Connection: close. Requests that end in time are served as before. bodyDeadline changes the read deadline under a lock: one that expired after the body would look like a caller that hung up.

--- a/internal/oriolerouter/drain_test.go
+++ b/internal/oriolerouter/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
@@ -19,6 +20,7 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
 	"github.com/orioleswitch/orioleswitch/platform"
 	"github.com/orioleswitch/orioleswitch/platform/standin"
+	"github.com/orioleswitch/orioleswitch/platform/wire"
 )
 
 // gracePeriod is that of the users' small sites.
@@ -52,10 +54,10 @@
 }
 
 // startRouter starts a gateway with the directory that wrap returns for a client of
-// an empty store.
-func startRouter(t *testing.T, wrap func(oriole.Directory) oriole.Directory) (r *oriolerouter.Router, settings oriolerouter.Settings, stop func() error) {
+// the store.
+func startRouter(t *testing.T, objects *standin.Store, wrap func(oriole.Directory) oriole.Directory) (r *oriolerouter.Router, settings oriolerouter.Settings, stop func() error) {
 	t.Helper()
-	store := httptest.NewServer(standin.NewStore())
+	store := httptest.NewServer(objects)
 	t.Cleanup(store.Close)
 	addrs := freeAddrs(t, 4)
 	settings = oriolerouter.Settings{
@@ -93,7 +95,7 @@
 func TestSilentDirectoryDoesNotDelayDrain(t *testing.T) {
 	is := is.New(t)
 	directory := &silentDirectory{withdrawing: make(chan struct{}), withdrawn: make(chan struct{})}
-	r, settings, stop := startRouter(t, func(d oriole.Directory) oriole.Directory {
+	r, settings, stop := startRouter(t, standin.NewStore(), func(d oriole.Directory) oriole.Directory {
 		directory.Directory = d
 		return directory
 	})
@@ -116,3 +118,48 @@
 	_ = stop()
 	<-directory.withdrawn
 }
+
+// TestDrainRefusesRequestsThatOutlastIt guards against taking requests in a planned
+// stop that its end would cut off.
+func TestDrainRefusesRequestsThatOutlastIt(t *testing.T) {
+	is := is.New(t)
+	store := standin.NewStore()
+	service := "s"
+	newRule := func(prefix string, timeout time.Duration) wire.Rule {
+		return wire.Rule{
+			Name: prefix, Kind: "idempotent", TargetLatencyMs: 300, Match: wire.Match{PathPrefix: prefix},
+			Action: wire.Action{Service: &service, TimeoutMs: float64(timeout.Milliseconds()), MaxAttempts: 2},
+		}
+	}
+	is.NoErr(store.Put("config", "main", wire.Config{
+		Version:   1,
+		Limits:    wire.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
+		Listeners: []wire.Listener{{Host: "h", Rules: []wire.Rule{newRule("/short/", time.Second), newRule("/long/", gracePeriod)}}},
+		Clusters:  []wire.Cluster{{Name: service, ColdPerS: 50}},
+	}))
+	r, settings, stop := startRouter(t, store, func(d oriole.Directory) oriole.Directory { return d })
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	reason := func(path string) string {
+		req, err := http.NewRequest(http.MethodGet, "http://"+settings.CallerAddr.String()+path, nil)
+		is.NoErr(err)
+		req.Host = "h"
+		resp, err := client.Do(req)
+		is.NoErr(err)
+		defer func() { _ = resp.Body.Close() }()
+		is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		return resp.Header.Get("Oriole-Reason")
+	}
+	for !r.Ready() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	is.Equal(reason("/long/"), oriole.ReasonNoOwner.String()) // the service has no upstream
+	drained := make(chan error, 1)
+	go func() { drained <- r.Drain(context.Background()) }()
+	for r.Ready() {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(reason("/long/"), oriole.ReasonDraining.String())
+	is.Equal(reason("/short/"), oriole.ReasonNoOwner.String())
+	is.NoErr(<-drained)
+	_ = stop()
+}
--- a/internal/oriolerouter/orioleingress/forwarder.go
+++ b/internal/oriolerouter/orioleingress/forwarder.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -16,6 +17,7 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleassign"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleplacement"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolestop"
 )
 
 const (
@@ -27,6 +29,9 @@
 	// noOwnerRetryAfter is the retry delay sent to callers when no upstream
 	// owns the key.
 	noOwnerRetryAfter = 300 * time.Millisecond
+	// drainRetryAfter is the retry delay sent to callers whose requests a gateway
+	// that is being stopped refuses. Other gateways can serve them at once.
+	drainRetryAfter = 50 * time.Millisecond
 	// retryPause is the longest pause before the next attempt at a request that
 	// was not run. A change of the cluster state ends it.
 	retryPause = 10 * time.Millisecond
@@ -74,6 +79,10 @@
 	budget   *retryBudget
 	balancer *poolBalancer
 	rankings orioleplacement.RankingCache
+	// schedule is nil until the gateway is being stopped; then stopping is done.
+	schedule  atomic.Pointer[oriolestop.Schedule]
+	stopping  context.Context
+	beginStop context.CancelFunc
 
 	mu         sync.Mutex
 	loadCounts map[oriole.ServiceName]map[int]int
@@ -81,14 +90,25 @@
 
 // NewForwarder returns a new [Forwarder].
 func NewForwarder(cfg ForwarderConfig) *Forwarder {
-	return &Forwarder{
+	f := &Forwarder{
 		cfg:        cfg,
 		budget:     newRetryBudget(),
 		balancer:   newPoolBalancer(cfg.Self.Zone),
 		loadCounts: make(map[oriole.ServiceName]map[int]int),
 	}
+	f.stopping, f.beginStop = context.WithCancel(context.Background())
+	return f
 }
 
+// Stop makes the forwarder refuse requests that could outlast the gateway.
+func (f *Forwarder) Stop(schedule *oriolestop.Schedule) {
+	f.schedule.Store(schedule)
+	f.beginStop()
+}
+
+// admits reports whether a request with the deadline may be passed on.
+func (f *Forwarder) admits(deadline time.Time) bool { return f.schedule.Load().Admits(deadline) }
+
 // Do runs the request and returns its final response. At most maxAttempts
 // upstreams may run it.
 func (f *Forwarder) Do(ctx context.Context, r oriole.Request, maxAttempts int) (final oriole.Response) {
@@ -106,6 +126,9 @@
 		if reason != oriole.ReasonNone {
 			resp := oriole.NotRunResponse(reason)
 			resp.RetryAfter = noOwnerRetryAfter
+			if reason == oriole.ReasonDraining {
+				resp.RetryAfter = drainRetryAfter
+			}
 			f.logAttempt(r, "", resp, attempt)
 			return finalResponse(resp, mayHaveRun)
 		}
@@ -212,7 +235,7 @@
 	case oriole.OutcomeAnswered:
 		return false
 	case oriole.OutcomeUnknown:
-		return r.Idempotent && attempt < maxAttempts && resp.Reason != oriole.ReasonDeadline && f.budget.withdraw(r.Service)
+		return r.Idempotent && attempt < maxAttempts && resp.Reason != oriole.ReasonDeadline && f.admits(r.Deadline) && f.budget.withdraw(r.Service)
 	}
 	switch resp.Reason {
 	case oriole.ReasonFenced, oriole.ReasonShed, oriole.ReasonConnection:
@@ -254,11 +277,15 @@
 }
 
 // target returns the pool of the request and the pool's dispatcher, or the reason
-// why there is none. It waits up to ownerWaitTimeout for an owner.
+// why there is none or the request must not be passed on. It waits up to
+// ownerWaitTimeout for an owner.
 func (f *Forwarder) target(ctx context.Context, r oriole.Request) (pool oriole.PoolID, dispatcher oriole.GatewayID, reason oriole.Reason) {
 	waitCtx, cancel := context.WithTimeout(ctx, ownerWaitTimeout)
 	defer cancel()
 	for {
+		if !f.admits(r.Deadline) {
+			return pool, "", oriole.ReasonDraining
+		}
 		state, updated := f.cfg.State.Watch()
 		pool, reason = f.poolFor(state, r)
 		if reason == oriole.ReasonNone {
--- a/internal/oriolerouter/orioleingress/framing_test.go
+++ b/internal/oriolerouter/orioleingress/framing_test.go
@@ -42,13 +42,21 @@
 // listen serves a handler, and returns its address and the dispatcher that
 // records the requests.
 func listen(t testing.TB) (addr string, dispatcher *recordingDispatcher) {
+	t.Helper()
+	addr, dispatcher, _ = listenWithTimeout(t, time.Second)
+	return addr, dispatcher
+}
+
+// listenWithTimeout is like listen, with the timeout of the route, and also returns
+// the forwarder.
+func listenWithTimeout(t testing.TB, timeout time.Duration) (addr string, dispatcher *recordingDispatcher, forwarder *Forwarder) {
 	t.Helper()
 	dispatcher = &recordingDispatcher{}
-	forwarder := newForwarder(dispatcher)
+	forwarder = newForwarder(dispatcher)
 	cfg := forwarder.cfg.State.Snapshot().Config
 	cfg.Limits = oriole.Limits{MaxHeaderBytes: 1024, MaxBodyBytes: 64}
 	cfg.Version = 1
-	cfg.Routes = []oriole.Route{{Name: "r", Host: "h", Prefix: "/a/", Timeout: time.Second, Shares: []oriole.Share{{Service: "s", Weight: 1}}}}
+	cfg.Routes = []oriole.Route{{Name: "r", Host: "h", Prefix: "/a/", Timeout: timeout, Shares: []oriole.Share{{Service: "s", Weight: 1}}}}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -61,7 +69,7 @@
 		cancel()
 		<-stopped
 	})
-	return listener.Addr().String(), dispatcher
+	return listener.Addr().String(), dispatcher, forwarder
 }
 
 // exchange sends the text, reads the expected number of responses, closes its
--- a/internal/oriolerouter/orioleingress/http.go
+++ b/internal/oriolerouter/orioleingress/http.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,10 @@
 	// bufferFullRetryAfter is the retry delay sent to callers whose request body
 	// would exceed maxBufferedBytes.
 	bufferFullRetryAfter = 500 * time.Millisecond
+	// discardTimeout is how long the rest of a body is discarded after its request
+	// was refused. Closing a connection with unread bytes resets it, and the caller
+	// may lose the response.
+	discardTimeout = 500 * time.Millisecond
 )
 
 // Header fields of orioleswitch itself, in addition to those of the platform's
@@ -138,7 +143,8 @@
 	if callerTimeout > 0 {
 		timeout = min(timeout, callerTimeout-responseMargin)
 	}
-	body, rejected, err := h.readBody(w, r, cfg.Limits.MaxBodyBytes, timeout)
+	request.Deadline = now.Add(timeout)
+	body, rejected, err := h.readBody(w, r, cfg.Limits.MaxBodyBytes, request.Deadline)
 	if rejected != nil || err != nil {
 		return request, route, rejected, err
 	}
@@ -150,7 +156,6 @@
 	request.Body = body
 	request.Idempotent = route.Idempotent
 	request.Priority = route.Priority
-	request.Deadline = now.Add(timeout)
 	request.SoftDeadline = now.Add(route.LatencyTarget)
 	return request, route, nil, nil
 }
@@ -176,16 +181,56 @@
 	return n, err
 }
 
+// bodyDeadline is the read deadline of a connection on which a body arrives.
+type bodyDeadline struct {
+	mu      sync.Mutex
+	control *http.ResponseController
+	// read is set once the body has been read or given up.
+	read bool
+}
+
+// expire ends the read of the body, unless it has ended.
+func (d *bodyDeadline) expire() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.read {
+		_ = d.control.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// end replaces the deadline by one for what follows the body; a zero time means
+// none.
+func (d *bodyDeadline) end(next time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.read = true
+	_ = d.control.SetReadDeadline(next)
+}
+
 // readBody reads the body of a request, which may come slowly or without end. Its
 // size is counted in h.buffered, unless the request is rejected or reading fails.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, limit int64, timeout time.Duration) (body []byte, rejected *rejection, err error) {
+// The body of a request that the gateway can't serve before it stops is not read.
+func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (body []byte, rejected *rejection, err error) {
 	control := http.NewResponseController(w)
+	read := &bodyDeadline{control: control}
 	// A server that can't set a deadline is one of a test.
-	_ = control.SetReadDeadline(time.Now().Add(timeout))
+	_ = control.SetReadDeadline(deadline)
+	if r.ContentLength != 0 {
+		stop := context.AfterFunc(h.forwarder.stopping, func() {
+			if !h.forwarder.admits(deadline) {
+				read.expire()
+			}
+		})
+		defer stop()
+	}
+	if !h.forwarder.admits(deadline) {
+		read.end(time.Now().Add(discardTimeout))
+		return nil, &rejection{http.StatusServiceUnavailable, oriole.ReasonDraining, drainRetryAfter}, nil
+	}
 	counted := &countingReader{Reader: http.MaxBytesReader(w, r.Body, limit), total: &h.buffered}
 	body, err = io.ReadAll(counted)
 	if err == nil {
-		_ = control.SetReadDeadline(time.Time{})
+		read.end(time.Time{})
 		return body, nil, nil
 	}
 	h.buffered.Add(-counted.n)
@@ -195,6 +240,9 @@
 		return nil, &rejection{status: http.StatusRequestEntityTooLarge}, nil
 	case errors.Is(err, errBufferFull):
 		return nil, &rejection{http.StatusServiceUnavailable, oriole.ReasonQueueFull, bufferFullRetryAfter}, nil
+	case errors.Is(err, os.ErrDeadlineExceeded) && !h.forwarder.admits(deadline):
+		read.end(time.Now().Add(discardTimeout))
+		return nil, &rejection{http.StatusServiceUnavailable, oriole.ReasonDraining, drainRetryAfter}, nil
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		w.Header().Set("Connection", "close")
 		return nil, &rejection{status: http.StatusRequestTimeout}, nil
@@ -233,6 +281,10 @@
 	header := w.Header()
 	if resp.Outcome != oriole.OutcomeAnswered {
 		h.dialect.ToCaller(header, request, resp)
+		if resp.Reason == oriole.ReasonDraining {
+			// The caller's next request should reach another gateway.
+			header.Set("Connection", "close")
+		}
 		header.Set(headerOutcome, resp.Outcome.String())
 		header.Set(headerReason, resp.Reason.String())
 		http.Error(w, resp.Outcome.String()+": "+resp.Reason.String(), statusFor(resp))
--- /dev/null
+++ b/internal/oriolerouter/orioleingress/stop_test.go
@@ -0,0 +1,113 @@
+package orioleingress
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolestop"
+)
+
+// stoppingDispatcher is a scriptedDispatcher whose gateway is told to stop while
+// the first request runs.
+type stoppingDispatcher struct {
+	scriptedDispatcher
+	stop func()
+}
+
+func (d *stoppingDispatcher) Do(ctx context.Context, r oriole.Request, reply func(oriole.Response)) {
+	d.stop()
+	d.scriptedDispatcher.Do(ctx, r, reply)
+}
+
+// TestRequestThatOutlastsTheGatewayIsRefused guards against passing on a request,
+// or trying it again, when the process may end before the request does.
+func TestRequestThatOutlastsTheGatewayIsRefused(t *testing.T) {
+	answered := oriole.Response{Outcome: oriole.OutcomeAnswered, Status: 200}
+	unknown := oriole.UnknownResponse(oriole.ReasonConnection)
+	moved := oriole.NotRunResponse(oriole.ReasonMoved)
+	const grace = 6 * time.Second
+	for _, test := range []struct {
+		name string
+		// stopped is whether the gateway is told to stop before the request arrives,
+		// instead of while it runs.
+		stopped   bool
+		timeout   time.Duration
+		responses []oriole.Response
+		attempts  int
+		outcome   oriole.Outcome
+		reason    oriole.Reason
+	}{
+		{"short", true, time.Second, []oriole.Response{answered}, 1, oriole.OutcomeAnswered, oriole.ReasonNone},
+		{"long", true, time.Minute, []oriole.Response{answered}, 0, oriole.OutcomeNotRun, oriole.ReasonDraining},
+		{"long, passed on before the stop", false, time.Minute, []oriole.Response{answered}, 1, oriole.OutcomeAnswered, oriole.ReasonNone},
+		{"short, second attempt", false, time.Second, []oriole.Response{moved, answered}, 2, oriole.OutcomeAnswered, oriole.ReasonNone},
+		{"long, second attempt", false, time.Minute, []oriole.Response{moved, answered}, 1, oriole.OutcomeNotRun, oriole.ReasonDraining},
+		{"long, may have run", false, time.Minute, []oriole.Response{unknown, answered}, 1, oriole.OutcomeUnknown, oriole.ReasonConnection},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			dispatcher := &stoppingDispatcher{scriptedDispatcher: scriptedDispatcher{responses: test.responses}}
+			forwarder := newForwarder(dispatcher)
+			dispatcher.stop = func() { forwarder.Stop(oriolestop.New(time.Now(), grace)) }
+			if test.stopped {
+				dispatcher.stop()
+			}
+			for range 20 { // fill the retry budget
+				forwarder.budget.deposit("s")
+			}
+			resp := forwarder.Do(context.Background(), oriole.Request{
+				Service: "s", Idempotent: true, Deadline: time.Now().Add(test.timeout),
+			}, 2)
+			is.Equal(resp.Outcome, test.outcome)
+			is.Equal(resp.Reason, test.reason)
+			is.Equal(dispatcher.attempts, test.attempts)
+			is.True(resp.Outcome != oriole.OutcomeNotRun || resp.RetryAfter > 0)
+		})
+	}
+}
+
+// TestSlowBodyIsRefusedWhenTheGatewayStops guards against waiting for the body of a
+// request that can't be passed on any more.
+func TestSlowBodyIsRefusedWhenTheGatewayStops(t *testing.T) {
+	const timeout = time.Minute
+	for _, test := range []struct {
+		name string
+		// sent is the part of the request that is sent before the stop.
+		sent, rest string
+	}{
+		{"body before the stop", post + "Content-Length: 4\r\n\r\nxx", ""},
+		{"header before the stop", post + "Content-Length: 4\r\n", "\r\nxx"},
+		{"nothing before the stop", "", post + "Content-Length: 4\r\n\r\nxx"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			addr, dispatcher, forwarder := listenWithTimeout(t, timeout)
+			conn, err := net.Dial("tcp", addr)
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			is.NoErr(conn.SetDeadline(time.Now().Add(8 * time.Second)))
+			_, err = io.WriteString(conn, test.sent)
+			is.NoErr(err)
+			time.Sleep(50 * time.Millisecond) // usually, the server reads the body now
+			forwarder.Stop(oriolestop.New(time.Now(), 6*time.Second))
+			_, err = io.WriteString(conn, test.rest)
+			is.NoErr(err)
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			is.NoErr(err)
+			is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+			is.Equal(resp.Header.Get(headerReason), oriole.ReasonDraining.String())
+			is.Equal(resp.Header.Get(headerOutcome), oriole.OutcomeNotRun.String())
+			is.True(resp.Header.Get("Retry-After") != "")
+			is.True(resp.Close)
+			is.Equal(dispatcher.received(), nil)
+		})
+	}
+}
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -26,6 +26,7 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleassign"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolecrash"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolestop"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
 )
 
@@ -307,32 +308,24 @@
 	r.links.Send(a.Leader, &oriolemessage.Frame{Load: oriolemessage.FromLoad(service, counts, durations)})
 }
 
-const (
-	// readinessPropagation is how long the load balancer may still open
-	// connections to a gateway that is no longer ready: two checks, one second
-	// apart.
-	readinessPropagation = 2500 * time.Millisecond
-	// exitReserve is the part of the grace period that is left for the
-	// process to exit.
-	exitReserve = 500 * time.Millisecond
-)
-
 // Drain hands the gateway's work over to its peers and completes the requests in
 // flight. It returns when that is done or the grace period expires.
 func (r *Router) Drain(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrap(err, "drain gateway") }()
-	ctx, cancel := context.WithTimeout(ctx, r.settings.GracePeriod-exitReserve)
+	schedule := oriolestop.New(r.timers.Now(), r.settings.GracePeriod)
+	ctx, cancel := context.WithDeadline(ctx, schedule.CutAt)
 	defer cancel()
 	r.log.Info(oriolelog.MessageDraining)
-	propagated := time.NewTimer(readinessPropagation)
-	defer propagated.Stop()
+	r.callerServer.DisableKeepAlives()
+	r.forwarder.Stop(schedule)
 	if !r.draining.Swap(true) {
 		close(r.drainStarted)
 	}
 	r.leader.Resign(ctx)
 	r.tracker.UpdateGateway(ctx, r.currentMember())
 	r.links.BroadcastHeartbeat()
-	r.callerServer.DisableKeepAlives()
+	propagated := time.NewTimer(schedule.ListenUntil.Sub(r.timers.Now()))
+	defer propagated.Stop()
 	select {
 	case <-propagated.C:
 	case <-ctx.Done():
--- a/internal/orioletrace/trace.go
+++ b/internal/orioletrace/trace.go
@@ -144,6 +144,8 @@
 		return "upstream " + upstreamOf(end) + " sent a response that is incomplete or belongs to another request"
 	case oriole.ReasonCrash.String():
 		return "requests with the same content have crashed three upstreams; the request was rejected and has not run"
+	case oriole.ReasonDraining.String():
+		return drainingCause
 	case oriole.ReasonCancelled.String():
 		return "the caller disconnected"
 	}
@@ -153,6 +155,9 @@
 	return "the log lines above do not show the cause"
 }
 
+// drainingCause is the cause of an outcome with oriole.ReasonDraining.
+const drainingCause = "the gateway was being stopped, and the request could have outlasted it; it was not passed on"
+
 // statusNotFound is the status of a request that matches no route.
 const statusNotFound = "404"
 
@@ -160,6 +165,9 @@
 	if end.Fields["config"] == "" {
 		return "the gateway had not loaded a configuration yet; the request has not run"
 	}
+	if end.Fields["reason"] == oriole.ReasonDraining.String() {
+		return drainingCause
+	}
 	cause := fmt.Sprintf("rejected with status %s under version %s of the configuration", end.Fields["status"], end.Fields["config"])
 	if end.Fields["status"] == statusNotFound {
 		cause = fmt.Sprintf("no route of version %s of the configuration matches host %s and path %s; that version had been in force on %s for %s",
--- /dev/null
+++ b/pkg/oriole/oriolestop/stop.go
@@ -0,0 +1,47 @@
+// Package oriolestop decides what a gateway that is being stopped may still do:
+// until when it accepts connections, and which requests it passes on. It has no
+// clock; its caller passes the times.
+package oriolestop
+
+import "time"
+
+const (
+	// readinessPropagation is how long the load balancer may still open
+	// connections to a gateway that is no longer ready: two checks, one second
+	// apart.
+	readinessPropagation = 2500 * time.Millisecond
+	// exitReserve is the part of the grace period that is left for the
+	// process to exit.
+	exitReserve = 500 * time.Millisecond
+	// answerReserve is the time left to write responses that arrive at the
+	// deadlines of their requests.
+	answerReserve = 250 * time.Millisecond
+)
+
+// Schedule is the course of a planned stop. A nil Schedule is that of a gateway
+// that isn't being stopped.
+type Schedule struct {
+	// ListenUntil is until when connections are accepted.
+	ListenUntil time.Time
+	// AnswerUntil is until when upstreams may work on requests, if that is known
+	// when the requests are passed on.
+	AnswerUntil time.Time
+	// CutAt is when the connections that remain are closed.
+	CutAt time.Time
+}
+
+// New returns the schedule of a stop that starts at the given time. The process is
+// killed once the grace period is over.
+func New(start time.Time, gracePeriod time.Duration) *Schedule {
+	return &Schedule{
+		ListenUntil: start.Add(min(readinessPropagation, gracePeriod-exitReserve-answerReserve)),
+		AnswerUntil: start.Add(gracePeriod - exitReserve - answerReserve),
+		CutAt:       start.Add(gracePeriod - exitReserve),
+	}
+}
+
+// Admits reports whether a request with the deadline may be passed on to an
+// upstream: it has ended when the process stops.
+func (s *Schedule) Admits(deadline time.Time) bool {
+	return s == nil || !deadline.After(s.AnswerUntil)
+}
--- /dev/null
+++ b/pkg/oriole/oriolestop/stop_test.go
@@ -0,0 +1,53 @@
+package oriolestop_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolestop"
+)
+
+// TestLateRequestsThatOutlastTheGracePeriodAreNotAdmitted checks that a request is
+// passed on exactly if its deadline lies before the end of the stop.
+func TestLateRequestsThatOutlastTheGracePeriodAreNotAdmitted(t *testing.T) {
+	start := time.Unix(1000, 0)
+	const grace = 6 * time.Second
+	schedule := oriolestop.New(start, grace)
+	for _, test := range []struct {
+		name             string
+		arrival, timeout time.Duration
+		want             bool
+	}{
+		{"early and short", 0, time.Second, true},
+		{"early, as long as the grace period", 0, grace, false},
+		{"late and short", 4 * time.Second, time.Second, true},
+		{"late and long", 4 * time.Second, 2 * time.Second, false},
+		{"after the grace period", grace, time.Millisecond, false},
+		{"expired", 4 * time.Second, -time.Second, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			deadline := start.Add(test.arrival + test.timeout)
+			is.Equal(schedule.Admits(deadline), test.want)
+			is.True(!test.want || deadline.Before(schedule.CutAt)) // its answer can be written
+			var running *oriolestop.Schedule
+			is.True(running.Admits(deadline)) // a gateway that isn't being stopped
+		})
+	}
+}
+
+// TestScheduleFitsGracePeriod checks the order of a stop's phases, also within a
+// short grace period.
+func TestScheduleFitsGracePeriod(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	for _, grace := range []time.Duration{time.Second, 2 * time.Second, 6 * time.Second, time.Minute} {
+		schedule := oriolestop.New(start, grace)
+		is.True(schedule.ListenUntil.After(start))
+		is.True(!schedule.ListenUntil.After(schedule.AnswerUntil))
+		is.True(schedule.AnswerUntil.Before(schedule.CutAt))
+		is.True(schedule.CutAt.Before(start.Add(grace)))
+	}
+}
--- a/pkg/oriole/request.go
+++ b/pkg/oriole/request.go
@@ -62,13 +62,16 @@
 	// ReasonMoved means that the request no longer belonged to the pool in whose
 	// queue it waited.
 	ReasonMoved
+	// ReasonDraining means that the gateway is being stopped and that the request
+	// could have outlasted it.
+	ReasonDraining
 	reasonCount
 )
 
 var reasonNames = [...]string{
 	"none", "queue-full", "deadline", "not-keeper", "shed", "fenced",
 	"connection", "bad-answer", "crash", "cancelled",
-	"no-owner", "moved",
+	"no-owner", "moved", "draining",
 }
 
 // String returns the reason as it is sent to callers in a header.
