A draining gateway waits for its open connections

Callers saw: a request that arrived as the last one before it ended was cut off when a gateway stopped.

Cause: Shutdown returned as soon as no request was in flight. A connection may just have been accepted, or have been idle for less than minIdleBeforeClose, with a request on its way; the process then exited.

Change: Shutdown waits until the accept loop has ended and no connection is open, or until the end of the grace period. Idle connections are closed as before.

Evidence: TestShutdownWaitsForConnections failed before in all four cases (returned with a connection open, or with the first bytes of a request read) and passes now, also three times with the race detector.

--- a/internal/oriolerouter/orioleingress/listener.go
+++ b/internal/oriolerouter/orioleingress/listener.go
@@ -73,6 +73,13 @@
 	}
 }
 
+// connCount returns the number of open connections.
+func (l *trackedListener) connCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
 // trackedConn is an accepted connection.
 type trackedConn struct {
 	net.Conn
--- a/internal/oriolerouter/orioleingress/server.go
+++ b/internal/oriolerouter/orioleingress/server.go
@@ -6,6 +6,7 @@
 	"log"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,6 +29,9 @@
 	// response, and listenerClosed once no more connections are accepted.
 	keepAlivesDisabled atomic.Bool
 	listenerClosed     atomic.Bool
+	// acceptEnded is closed once the last accepted connection is tracked.
+	acceptEnded     chan struct{}
+	acceptEndedOnce sync.Once
 	// active is the number of requests in flight.
 	active   atomic.Int64
 	listener *trackedListener
@@ -37,7 +41,7 @@
 // it is called whenever a connection becomes idle, and returns how long the
 // connection may stay so; 0 means no limit.
 func NewServer(name string, listener net.Listener, handler http.Handler, idleTimeout func() time.Duration) *Server {
-	s := &Server{name: name, handler: handler, listener: newTrackedListener(listener, idleTimeout)}
+	s := &Server{name: name, handler: handler, listener: newTrackedListener(listener, idleTimeout), acceptEnded: make(chan struct{})}
 	s.server = &http.Server{
 		Handler:           s,
 		ReadHeaderTimeout: headerTimeout,
@@ -65,6 +69,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
 	defer stop()
 	err = s.server.Serve(s.listener)
+	if s.listenerClosed.Load() {
+		s.acceptEndedOnce.Do(func() { close(s.acceptEnded) })
+	}
 	if s.listenerClosed.Load() || errors.Is(err, http.ErrServerClosed) {
 		// Requests in flight continue until ctx is done.
 		<-ctx.Done()
@@ -78,12 +85,13 @@
 // look idle although the first bytes of a request were read.
 func (s *Server) DisableKeepAlives() { s.keepAlivesDisabled.Store(true) }
 
-// shutdownPollInterval is how often a server that shuts down checks for requests
-// in flight.
+// shutdownPollInterval is how often a server that shuts down closes idle
+// connections and checks for others.
 const shutdownPollInterval = 20 * time.Millisecond
 
-// Shutdown closes the listener and idle connections, and waits for the requests
-// in flight.
+// Shutdown closes the listener and idle connections, and waits until all
+// connections have ended: a request may be on its way on one that was just
+// accepted. It fails if requests are in flight when ctx is done.
 func (s *Server) Shutdown(ctx context.Context, timers oriole.Timers) (err error) {
 	s.listenerClosed.Store(true)
 	// Close only fails if the listener is already closed.
@@ -92,13 +100,26 @@
 	defer stop()
 	for {
 		s.listener.closeIdle()
-		if s.active.Load() == 0 {
+		if s.ended() {
 			return nil
 		}
 		select {
 		case <-ticks:
 		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "%s: %d requests still in flight", s.name, s.active.Load())
+			if n := s.active.Load(); n > 0 {
+				return errors.Wrapf(ctx.Err(), "%s: %d requests still in flight", s.name, n)
+			}
+			return nil
 		}
 	}
 }
+
+// ended reports whether no connection is open and none is accepted any more.
+func (s *Server) ended() bool {
+	select {
+	case <-s.acceptEnded:
+		return s.listener.connCount() == 0
+	default:
+		return false
+	}
+}
--- a/internal/oriolerouter/orioleingress/stop_test.go
+++ b/internal/oriolerouter/orioleingress/stop_test.go
@@ -111,3 +111,111 @@
 		})
 	}
 }
+
+// manualTimers sends a tick only when a test does.
+type manualTimers struct{ ticks chan time.Time }
+
+func (manualTimers) Now() time.Time { return time.Now() }
+
+func (m manualTimers) Subscribe(time.Duration) (<-chan time.Time, func()) {
+	return m.ticks, func() {}
+}
+
+// connStates returns how many connections are idle with no byte of a request read,
+// and how many others there are.
+func (l *trackedListener) connStates() (idle, arriving int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.mu.Lock()
+		if c.idleSince.IsZero() || c.received {
+			arriving++
+		} else {
+			idle++
+		}
+		c.mu.Unlock()
+	}
+	return idle, arriving
+}
+
+// TestShutdownWaitsForConnections guards against ending while a connection is open
+// on which a request may arrive.
+func TestShutdownWaitsForConnections(t *testing.T) {
+	const request = "GET /a/1 HTTP/1.1\r\nHost: h\r\n\r\n"
+	for _, test := range []struct {
+		name string
+		// before and late are sent before and while the server shuts down. The
+		// connection is idle if they are empty.
+		before, late string
+		used         bool
+	}{
+		{"connection just accepted", "", "", false},
+		{"first bytes read", request[:10], request[10:], false},
+		{"connection just used", "", "", true},
+		{"connection used, first bytes read", request[:10], request[10:], true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			server := NewServer("test", listener, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, "done")
+			}), nil)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			stopped := make(chan error, 1)
+			go func() { stopped <- server.Serve(ctx) }()
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			is.NoErr(conn.SetDeadline(time.Now().Add(8 * time.Second)))
+			in := bufio.NewReader(conn)
+			exchange := func(text string) {
+				_, err := io.WriteString(conn, text)
+				is.NoErr(err)
+				resp, err := http.ReadResponse(in, nil)
+				is.NoErr(err)
+				body, err := io.ReadAll(resp.Body)
+				is.NoErr(err)
+				is.Equal(string(body), "done")
+			}
+			if test.used {
+				exchange(request)
+			}
+			for idle := 0; idle == 0; idle, _ = server.listener.connStates() {
+				time.Sleep(time.Millisecond)
+			}
+			if test.before != "" {
+				_, err = io.WriteString(conn, test.before)
+				is.NoErr(err)
+				for arriving := 0; arriving == 0; _, arriving = server.listener.connStates() {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			server.DisableKeepAlives()
+			timers := manualTimers{make(chan time.Time)}
+			finished := make(chan error, 1)
+			go func() { finished <- server.Shutdown(context.Background(), timers) }()
+			if test.late != "" {
+				// A tick is taken once Shutdown has looked at the connections.
+				select {
+				case timers.ticks <- time.Now():
+				case err := <-finished:
+					t.Fatalf("shut down while a request was on its way: %v", err)
+				}
+				exchange(test.late)
+			}
+			for ended := false; !ended; {
+				select {
+				case timers.ticks <- time.Now():
+				case err := <-finished:
+					is.NoErr(err)
+					ended = true
+				}
+			}
+			is.Equal(server.listener.connCount(), 0)
+			cancel()
+			<-stopped
+		})
+	}
+}
