A refused request is not sent on the same connection again

Callers were told "not run" for requests that an upstream was running, or that ran at a second upstream.

A request that an upstream refuses is sent again with the same ID, often on the connection on which it was refused. A late copy of the refusal bears the same ID, and was taken for the response to the second send.

A connection remembers the IDs of the requests that may be sent again after their responses, and is not used for them any more. It remembers 64 hashes; one that would have to remember more is closed. Other requests still share it.

TestCopyOfRefusalIsNotTakenForSecondResponse and TestRefusedRequestIsNotSentOnItsConnectionAgain failed before (not run, though the upstream had run the request) and pass now, with 300 refusals on at most 30 connections.

--- a/internal/orioleupstream/client.go
+++ b/internal/orioleupstream/client.go
@@ -60,6 +60,12 @@
 	IdleTimeout func(http.Header) time.Duration
 	// Conn is the connection to use, or 0 for any.
 	Conn oriole.ConnID
+	// RequestID is the ID that the response repeats, or empty if it repeats none.
+	RequestID string
+	// MayRepeat reports whether the request may be sent again after its response.
+	// It is then sent on another connection, as a late copy of the response may
+	// arrive on this one. It may be nil.
+	MayRepeat func() bool
 	// NewConn requires a connection that carries this call only, on which no late
 	// response to an earlier call can arrive.
 	NewConn bool
@@ -100,6 +106,10 @@
 		return nil, err
 	}
 	resp.Conn = conn.id
+	if reusable && call.MayRepeat != nil && call.MayRepeat() && !conn.exclude(call.RequestID) {
+		reusable = false
+		_ = conn.Close()
+	}
 	if reusable {
 		timeout := defaultIdleTimeout
 		if call.IdleTimeout != nil {
@@ -116,7 +126,7 @@
 // EnsureConn opens a connection to the upstream for later calls to use, unless one
 // is already idle.
 func (c *Client) EnsureConn(ctx context.Context, to oriole.Upstream) (err error) {
-	conn, err := c.acquire(ctx, to, 0)
+	conn, err := c.acquire(ctx, to, 0, "")
 	if err != nil {
 		return err
 	}
@@ -131,14 +141,15 @@
 	if call.NewConn {
 		return dial(ctx, call.To.Addr)
 	}
-	return c.acquire(ctx, call.To, call.Conn)
+	return c.acquire(ctx, call.To, call.Conn, call.RequestID)
 }
 
-// acquire returns an idle connection or opens a new one. If id is not 0, it
-// returns the connection with that ID, or [oriole.ErrConnClosed] if it is gone.
-func (c *Client) acquire(ctx context.Context, to oriole.Upstream, id oriole.ConnID) (*conn, error) {
+// acquire returns an idle connection that may carry the request, or opens a new
+// one. If id is not 0, it returns the connection with that ID, or
+// [oriole.ErrConnClosed] if it is gone.
+func (c *Client) acquire(ctx context.Context, to oriole.Upstream, id oriole.ConnID, requestID string) (*conn, error) {
 	for {
-		conn := c.takeIdle(to.Incarnation(), id)
+		conn := c.takeIdle(to.Incarnation(), id, requestID)
 		if conn == nil {
 			break
 		}
@@ -157,12 +168,12 @@
 	return dial(ctx, to.Addr)
 }
 
-func (c *Client) takeIdle(incarnation oriole.Incarnation, id oriole.ConnID) *conn {
+func (c *Client) takeIdle(incarnation oriole.Incarnation, id oriole.ConnID, requestID string) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := c.idle[incarnation]
 	for i := len(conns) - 1; i >= 0; i-- {
-		if conn := conns[i]; id == 0 || conn.id == id {
+		if conn := conns[i]; (id == 0 || conn.id == id) && !conn.excludes(requestID) {
 			c.idle[incarnation] = slices.Delete(conns, i, i+1)
 			return conn
 		}
--- a/internal/orioleupstream/client_test.go
+++ b/internal/orioleupstream/client_test.go
@@ -8,7 +8,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,6 +27,12 @@
 // with the raw text that respond returns. It closes the connection if the text is
 // empty, or after sending it if it contains "Unframed".
 func newUpstream(t *testing.T, respond func(n int, id string) string) oriole.Upstream {
+	return newUpstreamByConn(t, func() func(int, string) string { return respond })
+}
+
+// newUpstreamByConn starts such a server with a respond function for each
+// connection.
+func newUpstreamByConn(t *testing.T, accept func() (respond func(n int, id string) string)) oriole.Upstream {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -36,7 +44,7 @@
 			if err != nil {
 				return
 			}
-			go serveConn(conn, respond)
+			go serveConn(conn, accept())
 		}
 	}()
 	return oriole.Upstream{ID: "i-1", Addr: netip.MustParseAddrPort(l.Addr().String()), StartedAt: time.Unix(1, 0)}
@@ -365,3 +373,98 @@
 	_, err = conn.Read(make([]byte, 1))
 	is.Equal(err, io.EOF)
 }
+
+// refusal returns a refusal of the request, or one without an ID if id is empty.
+func refusal(id string) string {
+	name := ""
+	if id != "" {
+		name = "X-Attempt-Id: " + id + "\r\n"
+	}
+	return "HTTP/1.1 503 No\r\n" + name + "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+}
+
+// repeatingUpstream refuses the first arrival of each ID and runs later ones. On a
+// connection that has carried a request before, its responses follow copies of the
+// refusals that copies selects.
+type repeatingUpstream struct {
+	// copies returns the IDs whose refusals to send once more, given those that
+	// were refused on the connection.
+	copies func(refused []string) []string
+
+	mu    sync.Mutex
+	seen  map[string]bool
+	conns int
+}
+
+func (u *repeatingUpstream) connCount() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.conns
+}
+
+func (u *repeatingUpstream) accept() func(n int, id string) string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.conns++
+	var refused []string
+	return func(_ int, id string) string {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		text := ""
+		for _, id := range u.copies(refused) {
+			text += refusal(id)
+		}
+		if u.seen[id] {
+			return text + okResponse(id)
+		}
+		u.seen[id] = true
+		refused = append(refused, id)
+		return text + refusal(id)
+	}
+}
+
+// A late copy of a refusal must not be taken for the response to the same request
+// when it is sent once more.
+func TestCopyOfRefusalIsNotTakenForSecondResponse(t *testing.T) {
+	is := is.New(t)
+	u := &repeatingUpstream{seen: make(map[string]bool), copies: func(refused []string) []string {
+		return refused[max(len(refused)-1, 0):]
+	}}
+	to := newUpstreamByConn(t, u.accept)
+	sender := newSender(t)
+	const requests = 300
+	for i := range requests {
+		id := fmt.Sprint(i)
+		is.Equal(sender.Send(context.Background(), to, request(id)).Outcome, oriole.OutcomeNotRun)
+		resp := sender.Send(context.Background(), to, request(id))
+		is.Equal(resp.Outcome, oriole.OutcomeAnswered) // it has run
+		is.Equal(resp.Header.Get("X-Attempt-Id"), id)
+	}
+	is.True(u.connCount() <= requests/10) // refusals share connections
+}
+
+// A copy of a refusal may come after many other requests on its connection.
+func TestRefusedRequestIsNotSentOnItsConnectionAgain(t *testing.T) {
+	is := is.New(t)
+	repeat := ""
+	u := &repeatingUpstream{seen: make(map[string]bool), copies: func(refused []string) []string {
+		if slices.Contains(refused, repeat) {
+			return []string{repeat}
+		}
+		return nil
+	}}
+	to := newUpstreamByConn(t, u.accept)
+	sender := newSender(t)
+	const requests = 300
+	for i := range requests {
+		is.Equal(sender.Send(context.Background(), to, request(fmt.Sprint(i))).Outcome, oriole.OutcomeNotRun)
+	}
+	for i := range requests {
+		id := fmt.Sprint(i)
+		u.mu.Lock()
+		repeat = id
+		u.mu.Unlock()
+		is.Equal(sender.Send(context.Background(), to, request(id)).Outcome, oriole.OutcomeAnswered) // it has run
+	}
+	is.True(u.connCount() <= requests/10)
+}
--- a/internal/orioleupstream/conn.go
+++ b/internal/orioleupstream/conn.go
@@ -8,11 +8,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
@@ -34,6 +36,9 @@
 	// maxHeadBytes bounds the status line and header of a response, and what
 	// precedes its body otherwise. An upstream may send bytes without end.
 	maxHeadBytes = 64 << 10
+	// maxExcluded bounds the request IDs that a connection remembers. One that
+	// would have to remember more is closed.
+	maxExcluded = 64
 )
 
 // conn is a connection to an upstream. It carries one request at a time.
@@ -45,6 +50,9 @@
 	head    headLimiter
 	tracker trackingWriter
 	id      oriole.ConnID
+	// excluded holds the hashes of the request IDs that the connection must not
+	// carry again.
+	excluded []uint64
 	// idleUntil is when the upstream may close the connection if it stays idle.
 	idleUntil time.Time
 }
@@ -177,6 +185,22 @@
 	return err == nil && empty
 }
 
+// exclude keeps the connection from carrying a request with the ID again. It
+// reports false if the connection can't remember one more ID.
+func (c *conn) exclude(requestID string) bool {
+	if len(c.excluded) == maxExcluded {
+		return false
+	}
+	c.excluded = append(c.excluded, xxhash.Sum64String(requestID))
+	return true
+}
+
+// excludes reports whether the connection must not carry the request. Two IDs
+// with the same hash cost a connection.
+func (c *conn) excludes(requestID string) bool {
+	return requestID != "" && slices.Contains(c.excluded, xxhash.Sum64String(requestID))
+}
+
 // exchange sends the request and reads its response. It skips responses for which
 // matches returns false. reusable reports whether the connection may carry another
 // request.
--- a/internal/orioleupstream/sender.go
+++ b/internal/orioleupstream/sender.go
@@ -37,12 +37,14 @@
 	defer cancel()
 	var info oriole.ResponseInfo
 	resp, err := s.client.Do(ctx, Call{
-		To:      to,
-		Request: newRequest(r, s.dialect.ToUpstream(to, r, remaining)),
+		To:        to,
+		RequestID: r.ID,
+		Request:   newRequest(r, s.dialect.ToUpstream(to, r, remaining)),
 		MatchesRequest: func(resp *http.Response) bool {
 			info = s.dialect.FromUpstream(resp.StatusCode, resp.Header, r)
 			return info.MatchesRequest
 		},
+		MayRepeat:   func() bool { return info.Outcome != oriole.OutcomeAnswered },
 		IdleTimeout: func(http.Header) time.Duration { return info.IdleTimeout },
 	})
 	if err != nil {
