A response without an ID counts only on a connection without a past

Callers could be told "not run" for a request that an upstream was running.

A 421, or a response with X-Not-Executed, that bears no ID was taken for the response to the request that was sent last. On a kept connection it may be a late copy of one to an earlier request.

It now counts only if it is the first response on a connection that carries its first request. Otherwise the outcome is unknown, and the connection is closed, so that the response that may still follow is not read for the next request.

--- a/internal/orioleupstream/client.go
+++ b/internal/orioleupstream/client.go
@@ -25,6 +25,10 @@
 // ErrBodyTooLarge is returned if a response body exceeds the maximum size.
 var ErrBodyTooLarge = errors.New("response body too large")
 
+// ErrAmbiguous is returned if a response may belong to an earlier request on the
+// same connection.
+var ErrAmbiguous = errors.New("response may belong to an earlier request")
+
 // Response is a complete response of an upstream.
 type Response struct {
 	// Conn identifies the connection that the response was received on.
@@ -55,6 +59,10 @@
 	Request *http.Request
 	// MatchesRequest reports whether a response belongs to the request.
 	MatchesRequest func(*http.Response) bool
+	// Unnamed reports whether a response that matches bears no ID. The call fails
+	// if its connection has carried an earlier request or response, of which it
+	// may be a late copy. It may be nil.
+	Unnamed func() bool
 	// IdleTimeout returns how long the connection may be kept idle according to the
 	// response header, or 0 if the header doesn't say.
 	IdleTimeout func(http.Header) time.Duration
@@ -94,7 +102,7 @@
 		c.putIdle(call.To.Incarnation(), conn)
 		return nil, oriole.ErrExpired
 	}
-	resp, reusable, err := conn.exchange(ctx, call.Request, call.MatchesRequest)
+	resp, reusable, err := conn.exchange(ctx, call)
 	reusable = reusable && !call.NewConn
 	if err != nil || !reusable {
 		conn.abort()
--- a/internal/orioleupstream/client_test.go
+++ b/internal/orioleupstream/client_test.go
@@ -468,3 +468,39 @@
 	}
 	is.True(u.connCount() <= requests/10)
 }
+
+// On a kept connection, a response without an ID may be a late copy of one to an
+// earlier request.
+func TestResponseWithoutIDCountsOnFirstRequestOfConnectionOnly(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		respond func(n int, id string) string
+		want    []oriole.Outcome
+	}{
+		{"refusals on new connections", func(int, string) string { return refusal("") + "Unframed" }, []oriole.Outcome{oriole.OutcomeNotRun, oriole.OutcomeNotRun}},
+		{"copy before the response", func(n int, id string) string {
+			if n == 0 {
+				return okResponse(id)
+			}
+			return refusal("") + okResponse(id)
+		}, []oriole.Outcome{oriole.OutcomeAnswered, oriole.OutcomeUnknown, oriole.OutcomeAnswered, oriole.OutcomeUnknown}},
+		{"misdirected copy before the response", func(n int, id string) string {
+			if n == 0 {
+				return okResponse(id)
+			}
+			return "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n" + okResponse(id)
+		}, []oriole.Outcome{oriole.OutcomeAnswered, oriole.OutcomeUnknown, oriole.OutcomeAnswered}},
+		{"after a response to another request", func(_ int, id string) string {
+			return okResponse("old") + refusal("") + okResponse(id)
+		}, []oriole.Outcome{oriole.OutcomeUnknown, oriole.OutcomeUnknown}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			to := newUpstream(t, test.respond)
+			sender := newSender(t)
+			for i, want := range test.want {
+				is.Equal(sender.Send(context.Background(), to, request(fmt.Sprint(i))).Outcome, want)
+			}
+		})
+	}
+}
--- a/internal/orioleupstream/conn.go
+++ b/internal/orioleupstream/conn.go
@@ -50,6 +50,8 @@
 	head    headLimiter
 	tracker trackingWriter
 	id      oriole.ConnID
+	// used is set once the connection has carried a request.
+	used bool
 	// excluded holds the hashes of the request IDs that the connection must not
 	// carry again.
 	excluded []uint64
@@ -201,15 +203,15 @@
 	return requestID != "" && slices.Contains(c.excluded, xxhash.Sum64String(requestID))
 }
 
-// exchange sends the request and reads its response. It skips responses for which
-// matches returns false. reusable reports whether the connection may carry another
-// request.
-func (c *conn) exchange(ctx context.Context, req *http.Request, matches func(*http.Response) bool) (resp *Response, reusable bool, err error) {
+// exchange sends the call's request and reads its response. It skips responses that
+// do not match. reusable reports whether the connection may carry another request.
+func (c *conn) exchange(ctx context.Context, call Call) (resp *Response, reusable bool, err error) {
 	defer func() { err = errors.Wrap(err, "exchanging a request and its response") }()
 	// A deadline in the past interrupts pending reads and writes.
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	c.tracker.started.Store(false)
+	req := call.Request
 	written := make(chan error, 1)
 	if req.ContentLength <= bufferSize {
 		written <- c.write(req)
@@ -218,7 +220,7 @@
 		// response is read meanwhile.
 		go func() { written <- c.write(req) }()
 	}
-	resp, reusable, err = c.read(req, matches)
+	resp, reusable, err = c.read(call)
 	if err != nil {
 		return nil, false, err
 	}
@@ -247,10 +249,12 @@
 // including interim responses and those that belong to another request.
 const maxResponses = 3
 
-func (c *conn) read(req *http.Request, matches func(*http.Response) bool) (*Response, bool, error) {
+func (c *conn) read(call Call) (*Response, bool, error) {
+	first := !c.used
+	c.used = true
 	for range maxResponses {
 		c.head.remaining = maxHeadBytes
-		resp, err := http.ReadResponse(c.in, req)
+		resp, err := http.ReadResponse(c.in, call.Request)
 		if err != nil {
 			return nil, false, err
 		}
@@ -259,9 +263,16 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if resp.StatusCode < 200 || !matches(resp) {
+		if resp.StatusCode < 200 {
 			continue
 		}
+		if !call.MatchesRequest(resp) {
+			first = false
+			continue
+		}
+		if !first && call.Unnamed != nil && call.Unnamed() {
+			return nil, false, ErrAmbiguous
+		}
 		reusable := !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0) && c.in.Buffered() == 0
 		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, reusable, nil
 	}
--- a/internal/orioleupstream/sender.go
+++ b/internal/orioleupstream/sender.go
@@ -44,6 +44,7 @@
 			info = s.dialect.FromUpstream(resp.StatusCode, resp.Header, r)
 			return info.MatchesRequest
 		},
+		Unnamed:     func() bool { return info.Unnamed },
 		MayRepeat:   func() bool { return info.Outcome != oriole.OutcomeAnswered },
 		IdleTimeout: func(http.Header) time.Duration { return info.IdleTimeout },
 	})
@@ -85,6 +86,8 @@
 	switch {
 	case errors.Is(err, oriole.ErrNotSent), errors.Is(err, oriole.ErrConnRefused):
 		response = oriole.NotRunResponse(oriole.ReasonConnection)
+	case errors.Is(err, ErrAmbiguous):
+		response.Reason = oriole.ReasonBadResponse
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		response.Reason = oriole.ReasonDeadline
 	case ctx.Err() != nil:
--- a/pkg/oriole/directory.go
+++ b/pkg/oriole/directory.go
@@ -167,8 +167,11 @@
 // ResponseInfo is the content of an upstream's response header that concerns
 // the gateway.
 type ResponseInfo struct {
-	// MatchesRequest is set if the response belongs to the request.
+	// MatchesRequest is set unless the response bears the ID of another request.
 	MatchesRequest bool
+	// Unnamed is set if the response bears no ID. It then belongs to the request
+	// only if its connection has carried no other.
+	Unnamed bool
 	// Outcome is OutcomeAnswered, OutcomeNotRun with a Reason, or OutcomeUnknown
 	// for a response that must not be passed on.
 	Outcome Outcome
