Requests without an ID have connections of their own

A caller that sent no X-Attempt-Id could get a response that was not its own: responses without an ID match such a request, also late copies on a kept connection.

A request without an ID is now sent on a connection that carries it only.

--- a/internal/orioleupstream/client_test.go
+++ b/internal/orioleupstream/client_test.go
@@ -504,3 +504,24 @@
 		})
 	}
 }
+
+// Nothing tells the responses to requests without an ID apart.
+func TestRequestWithoutIDHasConnectionOfItsOwn(t *testing.T) {
+	is := is.New(t)
+	to := newUpstream(t, func(n int, id string) string {
+		if n > 0 {
+			return okResponse("")
+		}
+		if id == "" {
+			return "HTTP/1.1 400 No\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+		}
+		return okResponse(id)
+	})
+	sender := newSender(t)
+	is.Equal(sender.Send(context.Background(), to, request("1")).Outcome, oriole.OutcomeAnswered)
+	for range 2 {
+		r := request("")
+		r.Header = nil
+		is.Equal(sender.Send(context.Background(), to, r).Outcome, oriole.OutcomeNotRun)
+	}
+}
--- a/internal/orioleupstream/sender.go
+++ b/internal/orioleupstream/sender.go
@@ -45,6 +45,7 @@
 			return info.MatchesRequest
 		},
 		Unnamed:     func() bool { return info.Unnamed },
+		NewConn:     r.ID == "",
 		MayRepeat:   func() bool { return info.Outcome != oriole.OutcomeAnswered },
 		IdleTimeout: func(http.Header) time.Duration { return info.IdleTimeout },
 	})
