--- a/internal/orioleupstream/client_test.go
+++ b/internal/orioleupstream/client_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -525,3 +526,56 @@
 		is.Equal(sender.Send(context.Background(), to, r).Outcome, oriole.OutcomeNotRun)
 	}
 }
+
+// A late copy of an answer must not be taken for the next answer, and costs no
+// connection.
+func TestLateCopyOfAnswerIsSkipped(t *testing.T) {
+	is := is.New(t)
+	var conns atomic.Int64
+	to := newUpstreamByConn(t, func() func(int, string) string {
+		conns.Add(1)
+		last := ""
+		return func(_ int, id string) string {
+			text := last + okResponse(id)
+			last = okResponse(id)
+			return text
+		}
+	})
+	sender := newSender(t)
+	for i := range 100 {
+		id := fmt.Sprint(i)
+		resp := sender.Send(context.Background(), to, request(id))
+		is.Equal(resp.Outcome, oriole.OutcomeAnswered)
+		is.Equal(resp.Header.Get("X-Attempt-Id"), id)
+	}
+	is.Equal(conns.Load(), int64(1))
+}
+
+// A caller must not wait past its deadline for a response that comes slowly and
+// without end, and the upstream must see the connection close.
+func TestSlowEndlessBytesEndAtDeadline(t *testing.T) {
+	for _, prefix := range []string{"", "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n", "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nX-Response-Signature: s\r\n\r\n"} {
+		is := is.New(t)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		defer func() { _ = l.Close() }()
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			for _, err = io.WriteString(conn, prefix); err == nil; _, err = io.WriteString(conn, "a") {
+				time.Sleep(time.Millisecond)
+			}
+		}()
+		r := request("1")
+		r.Deadline = time.Now().Add(100 * time.Millisecond)
+		resp := newSender(t).Send(context.Background(), oriole.Upstream{ID: "i-1", Addr: netip.MustParseAddrPort(l.Addr().String())}, r)
+		is.Equal(resp.Outcome, oriole.OutcomeUnknown)
+		is.Equal(resp.Reason, oriole.ReasonDeadline)
+		<-closed
+	}
+}
