A dispatcher that stops refuses what it can't finish

Callers saw: requests that a gateway forwarded to a dispatcher in the last moments of its planned stop got 502: they were taken after the dispatcher had found that nothing was in flight, or could last longer than its grace period.

Cause: Dispatcher.Do took every request until the process had ended.

Change: once it finishes, the dispatcher refuses all requests, and during the drain those with a deadline after the end of the stop. The reason is ReasonNotDispatcher: they have not run, and the forwarder asks another dispatcher.

Evidence: TestFinishingDispatcherAcceptsNoRequests and TestDispatcherRefusesRequestsThatOutlastIt failed before ("the request was sent to an upstream") and pass now, five times with the race detector.

--- a/internal/oriolerouter/orioledispatcher/dispatcher.go
+++ b/internal/oriolerouter/orioledispatcher/dispatcher.go
@@ -17,6 +17,7 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolecrash"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolepool"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolering"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolestop"
 )
 
 const (
@@ -72,6 +73,10 @@
 	sendJobs *oriolering.Ring[sendJob]
 	// inFlight counts the calls of Do without a reply.
 	inFlight atomic.Int64
+	// schedule is nil until the gateway is being stopped. Once finishing is set, no
+	// request is accepted.
+	schedule  atomic.Pointer[oriolestop.Schedule]
+	finishing atomic.Bool
 }
 
 // event is an input to the pool duty. Exactly one field is set.
@@ -133,13 +138,19 @@
 }
 
 // Do runs the request on the pool that it names, and calls reply exactly once. If
-// the pool duty fails and restarts meanwhile, reply is never called.
+// the pool duty fails and restarts meanwhile, reply is never called. A request that
+// could outlast the gateway is refused with ReasonNotDispatcher, so that another
+// dispatcher is asked.
 func (disp *Dispatcher) Do(ctx context.Context, r oriole.Request, reply func(oriole.Response)) {
 	disp.inFlight.Add(1)
 	req := &pendingRequest{ctx: ctx, request: r, reply: func(response oriole.Response) {
 		disp.inFlight.Add(-1)
 		reply(response)
 	}}
+	if disp.finishing.Load() || !disp.schedule.Load().Admits(r.Deadline) {
+		req.reply(oriole.NotRunResponse(oriole.ReasonNotDispatcher))
+		return
+	}
 	if !disp.events.Offer(event{submit: req}) {
 		req.reply(oriole.NotRunResponse(oriole.ReasonQueueFull))
 		return
@@ -161,8 +172,12 @@
 // InFlight returns the number of requests passed to Do that have no reply yet.
 func (disp *Dispatcher) InFlight() int64 { return disp.inFlight.Load() }
 
-// Finish waits until no requests are in flight.
+// Stop makes the dispatcher refuse requests that could outlast the gateway.
+func (disp *Dispatcher) Stop(schedule *oriolestop.Schedule) { disp.schedule.Store(schedule) }
+
+// Finish accepts no more requests, and waits until none is in flight.
 func (disp *Dispatcher) Finish(ctx context.Context) error {
+	disp.finishing.Store(true)
 	ticks, stop := disp.cfg.Timers.Subscribe(tickInterval)
 	defer stop()
 	for disp.inFlight.Load() > 0 {
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -318,6 +318,7 @@
 	r.log.Info(oriolelog.MessageDraining)
 	r.callerServer.DisableKeepAlives()
 	r.forwarder.Stop(schedule)
+	r.dispatcher.Stop(schedule)
 	if !r.draining.Swap(true) {
 		close(r.drainStarted)
 	}
