A dispatcher that stops waits until its responses are written

Callers saw: a request that had run at a dispatcher got 502 from its forwarder when the dispatcher's planned stop ended: the response was lost.

Cause: the dispatcher no longer counted a request once its response was queued on the link. Nothing waited until the queue was written, and an exiting process resets connections on which it has not read everything.

Change: a link counts the peer's requests until their responses were handed to the connection. Links.Finish, the last step of the drain, waits for them within the grace period; links that have ended don't count. It then closes the links of peers with the WebSocket handshake, for 0.3 s at most, so that the peer has read all.

--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -55,6 +55,10 @@
 	lastWrite atomic.Int64
 	lastRead  atomic.Int64
 
+	// unanswered is the number of the peer's requests whose responses have not been
+	// handed to the connection.
+	unanswered atomic.Int64
+
 	mu     sync.Mutex
 	closed bool
 	// pending holds this gateway's requests that the peer has not answered.
@@ -140,6 +144,9 @@
 // request that its caller has given up on.
 func (l *link) write(ctx context.Context, p *Links, out *outgoing) error {
 	frame := out.frame
+	if frame.Response != nil {
+		defer l.unanswered.Add(-1)
+	}
 	data, err := out.encode(p.cfg.Clock)
 	if err != nil {
 		p.cfg.Metrics.Add("link_frames_oversize", 1)
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -278,12 +278,14 @@
 }
 
 func (p *Links) handleRequest(ctx context.Context, l *link, forwarded *oriolemessage.Request) {
+	l.unanswered.Add(1)
 	reply := func(resp oriole.Response) {
 		l.stopServing(forwarded.Number)
 		var parts []*oriolemessage.Frame
 		parts, resp.Body = splitBody(forwarded.Number, resp.Body)
 		if !l.offerAll(parts, &oriolemessage.Frame{Response: oriolemessage.FromResponse(forwarded.Number, forwarded.Id, resp)}) {
 			p.cfg.Metrics.Add("link_ring_full", 1)
+			l.unanswered.Add(-1)
 		}
 	}
 	body, complete := l.assemble(forwarded.Number, forwarded.Body)
@@ -302,6 +304,69 @@
 	p.cfg.Receiver.HandleRequest(ctx, r, reply)
 }
 
+const (
+	// finishInterval is how often Finish checks for responses that are not written.
+	finishInterval = 20 * time.Millisecond
+	// closeTimeout bounds the wait for peers to confirm that they have read
+	// everything: many round trips between zones.
+	closeTimeout = 300 * time.Millisecond
+)
+
+// Finish waits until the responses to all requests of peers were handed to their
+// connections, or the connections have ended. It then closes these connections
+// with a handshake: a process that exits resets a connection with unread frames,
+// and the peer could lose a response.
+func (p *Links) Finish(ctx context.Context) error {
+	ticks, stop := p.cfg.Timers.Subscribe(finishInterval)
+	defer stop()
+	for n := p.unanswered(); n > 0; n = p.unanswered() {
+		select {
+		case <-ticks:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d requests of peers not answered", n)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	for _, closed := range p.closeAccepted() {
+		select {
+		case <-closed:
+		case <-ctx.Done():
+			// The responses were handed to the connections.
+			return nil
+		}
+	}
+	return nil
+}
+
+// closeAccepted closes the links that peers have opened, and returns a channel for
+// each that is closed once the peer has confirmed it.
+func (p *Links) closeAccepted() (closed []<-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.accepted {
+		done := make(chan struct{})
+		closed = append(closed, done)
+		go func() {
+			defer close(done)
+			// An error means that the link has ended.
+			_ = l.conn.Close(websocket.StatusGoingAway, "")
+		}()
+	}
+	return closed
+}
+
+// unanswered returns the number of requests of peers whose responses have not been
+// handed to open connections.
+func (p *Links) unanswered() (n int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for l := range p.accepted {
+		n += l.unanswered.Load()
+	}
+	return n
+}
+
 // dialDuty maintains the link to one peer.
 type dialDuty struct {
 	links *Links
--- a/internal/oriolerouter/oriolelink/links_test.go
+++ b/internal/oriolerouter/oriolelink/links_test.go
@@ -152,3 +152,91 @@
 	is.True(err != nil)
 	is.NoErr(ctx.Err())
 }
+
+// dialRaw opens a link as a gateway would, and returns its connection.
+func dialRaw(t *testing.T, to oriole.Member, self oriole.GatewayID) *websocket.Conn {
+	t.Helper()
+	conn, _, err := websocket.Dial(context.Background(), "ws://"+to.PeerAddr.String()+Path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.CloseNow() })
+	conn.SetReadLimit(oriolemessage.MaxFrameSize)
+	writeRaw(t, conn, &oriolemessage.Frame{Hello: oriolemessage.FromMember(oriole.Member{
+		ID: self, VM: string(self), Zone: "z", PeerAddr: netip.MustParseAddrPort("127.0.0.1:1"), Weight: 1,
+	})})
+	return conn
+}
+
+func writeRaw(t *testing.T, conn *websocket.Conn, frame *oriolemessage.Frame) {
+	t.Helper()
+	data, err := oriolemessage.Encode(frame)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.Write(context.Background(), websocket.MessageBinary, data); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// readRaw reads one frame.
+func readRaw(ctx context.Context, conn *websocket.Conn) (frame oriolemessage.Frame, err error) {
+	_, data, err := conn.Read(ctx)
+	if err != nil {
+		return frame, err
+	}
+	return oriolemessage.Decode[oriolemessage.Frame](data)
+}
+
+// TestFinishWaitsForQueuedResponses guards against an exit of the process while the
+// response to a request that has run is still queued on a link.
+func TestFinishWaitsForQueuedResponses(t *testing.T) {
+	is := is.New(t)
+	links, member, receiver := startLinks(t, "dispatcher.1")
+	conn := dialRaw(t, member, "forwarder.1")
+	writeRaw(t, conn, &oriolemessage.Frame{Request: oriolemessage.FromRequest(1, oriole.Request{
+		ID: "r", Pool: oriole.PoolID{Service: "s"}, Method: "GET", Deadline: time.Now().Add(time.Minute),
+	}, time.Now())})
+	reply := <-receiver.replies
+	is.Equal(links.unanswered(), int64(1))
+	// The response exceeds the buffers of the connection, which nobody reads yet.
+	reply(oriole.Response{Outcome: oriole.OutcomeAnswered, Status: 200, Body: make([]byte, maxBodySize)})
+	is.Equal(links.unanswered(), int64(1))
+	finished := make(chan error, 1)
+	go func() { finished <- links.Finish(context.Background()) }()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	size := 0
+	for answered := false; !answered; {
+		frame, err := readRaw(ctx, conn)
+		is.NoErr(err)
+		if frame.Part != nil {
+			size += len(frame.Part.Body)
+		}
+		if frame.Response != nil {
+			size += len(frame.Response.Body)
+			answered = true
+		}
+	}
+	is.Equal(size, maxBodySize)
+	var err error
+	for err == nil { // heartbeats may follow
+		_, err = readRaw(ctx, conn)
+	}
+	is.Equal(websocket.CloseStatus(err), websocket.StatusGoingAway) // not a connection that broke off
+	is.NoErr(<-finished)
+}
+
+// TestFinishIgnoresEndedLinks checks that a gateway which stops does not wait for
+// the requests of a peer that is gone.
+func TestFinishIgnoresEndedLinks(t *testing.T) {
+	is := is.New(t)
+	links, member, receiver := startLinks(t, "dispatcher.1")
+	conn := dialRaw(t, member, "forwarder.1")
+	writeRaw(t, conn, &oriolemessage.Frame{Request: oriolemessage.FromRequest(1, oriole.Request{
+		ID: "r", Pool: oriole.PoolID{Service: "s"}, Method: "GET", Deadline: time.Now().Add(time.Minute),
+	}, time.Now())})
+	<-receiver.replies
+	is.NoErr(conn.CloseNow())
+	is.NoErr(links.Finish(context.Background()))
+}
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -335,7 +335,10 @@
 		return err
 	}
 	// Complete the requests that peers have forwarded.
-	return r.dispatcher.Finish(ctx)
+	if err := r.dispatcher.Finish(ctx); err != nil {
+		return err
+	}
+	return r.links.Finish(ctx)
 }
 
 // currentMember returns this gateway's entry, with whether it is draining now.
