A draining gateway stays so whatever its directory entry says

Callers saw: during a planned stop, requests were forwarded to the gateway that stopped, as long as the directory still listed it.

Cause: a gateway learns from heartbeats that a peer drains. A change of the peer's directory entry, a new list of the gateways, or the first frame of a new link replaced what it knew by an entry without that. The gateway that drained forgot it about itself with a new list. The next heartbeat corrects it, after up to 5 s.

Change: an entry of the same gateway doesn't end its drain; the next process on the VM is another gateway.

--- a/internal/oriolerouter/oriolestate/tracker_test.go
+++ b/internal/oriolerouter/oriolestate/tracker_test.go
@@ -415,3 +415,26 @@
 	r.apply(restoredUpdate{oriolemessage.KindGateways}, newGatewayUpdate(true, []oriole.Change[oriole.Member]{change(next), change(r.b.cfg.Self)}))
 	is.Equal(r.announced, 1)
 }
+
+// TestDrainingGatewayStaysDraining guards against using a gateway that drains as a
+// dispatcher or leader again, because of its directory entry or of a late frame.
+func TestDrainingGatewayStaysDraining(t *testing.T) {
+	is := is.New(t)
+	tracker := newTracker(&manualClock{now: time.Unix(1000, 0)})
+	peer, self := oriole.Member{ID: "peer.1", VM: "peer"}, tracker.cfg.Self
+	entry := []oriole.Change[oriole.Member]{{Name: "peer", Value: peer}}
+	state := apply(tracker, oriole.NewClusterState(), newGatewayUpdate(true, entry))
+	drainingPeer, drainingSelf := peer, self
+	drainingPeer.Draining, drainingSelf.Draining = true, true
+	state = apply(tracker, state, peerUpdate{drainingPeer}, peerUpdate{drainingSelf})
+	for _, u := range []update{newGatewayUpdate(false, entry), newGatewayUpdate(true, entry), peerUpdate{peer}, peerUpdate{self}} {
+		state = apply(tracker, state, u)
+		is.True(state.Gateways[peer.ID].Draining)
+		is.True(state.Gateways[self.ID].Draining)
+	}
+	next := oriole.Member{ID: "peer.2", VM: "peer"}
+	state = apply(tracker, state, newGatewayUpdate(false, []oriole.Change[oriole.Member]{{Name: "peer", Value: next}}))
+	is.True(!state.Gateways[next.ID].Draining)
+	_, listed := state.Gateways[peer.ID]
+	is.True(!listed)
+}
--- a/internal/oriolerouter/oriolestate/update.go
+++ b/internal/oriolerouter/oriolestate/update.go
@@ -1,6 +1,8 @@
 package oriolestate
 
 import (
+	"maps"
+
 	"github.com/apex/log"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
@@ -206,6 +208,7 @@
 
 func (u gatewayUpdate) apply(state *oriole.ClusterState, b *bookkeeping) {
 	gateways := state.EditGateways()
+	known := maps.Clone(gateways)
 	restored := u.reset && b.recentlyRestored(oriolemessage.KindGateways)
 	switch {
 	case restored:
@@ -216,12 +219,14 @@
 		}
 	case u.reset:
 		clear(gateways)
-		gateways[b.cfg.Self.ID] = b.cfg.Self
+		self := b.cfg.Self
+		self.Draining = known[self.ID].Draining
+		gateways[self.ID] = self
 	}
 	selfListed := false
 	for _, change := range u.changes {
 		selfListed = selfListed || (!change.Removed && change.Value.ID == b.cfg.Self.ID)
-		u.applyChange(gateways, change, b)
+		b.setGateway(gateways, known, change)
 	}
 	if restored && !selfListed {
 		b.cfg.RequestAnnounce()
@@ -230,25 +235,24 @@
 	b.sweep(state)
 }
 
-// applyChange applies the change of one entry. Entries are keyed by VM, so that a new
+// setGateway applies the change of one entry. Entries are keyed by VM, so that a new
 // gateway replaces the earlier one on the same VM; the entry of an earlier one is
-// stale.
-func (u gatewayUpdate) applyChange(gateways map[oriole.GatewayID]oriole.Member, change oriole.Change[oriole.Member], b *bookkeeping) {
+// stale. Entries do not say who is draining, which known does.
+func (b *bookkeeping) setGateway(gateways, known map[oriole.GatewayID]oriole.Member, change oriole.Change[oriole.Member]) {
 	next := change.Value
 	for id, m := range gateways {
-		switch {
-		case m.VM != change.Name || id == b.cfg.Self.ID:
-		case !change.Removed && id.Supersedes(next.ID):
+		if m.VM != change.Name || id == b.cfg.Self.ID {
+			continue
+		}
+		if !change.Removed && id.Supersedes(next.ID) {
 			return
-		case !change.Removed && id == next.ID:
-			next.Draining = next.Draining || m.Draining
-		default:
-			delete(gateways, id)
 		}
+		delete(gateways, id)
 	}
 	if change.Removed || next.VM == b.cfg.Self.VM {
 		return
 	}
+	next.Draining = next.Draining || known[next.ID].Draining
 	delete(b.unlistedGateways, next.ID)
 	gateways[next.ID] = next
 }
@@ -261,6 +265,8 @@
 // for another gateway on this gateway's VM.
 func (u peerUpdate) apply(state *oriole.ClusterState, b *bookkeeping) {
 	m := u.member
+	// A gateway that drains doesn't return; an older frame may arrive late.
+	m.Draining = m.Draining || state.Gateways[m.ID].Draining
 	if state.Gateways[m.ID] == m {
 		return
 	}
