A new link tells at once whether its gateway drains

Callers saw: a gateway that had just started forwarded requests to one that was being stopped.

Cause: the first frame of a link didn't say whether its sender drains, and made the peer list the sender as not draining. A heartbeat followed in the next frame, but it was dropped if the peer had not applied the first one yet; the next came up to 5 s later. A gateway that accepted a link waited for its timer before it sent anything.

Change: the hello has the field "leaving", as heartbeats have, and a gateway that accepts a link sends a heartbeat first. A hello without the field counts as not draining, as before.

Evidence: TestNewLinkTellsOfDrain failed before in both directions (no frame without a tick of the timers; a member that doesn't drain), and TestHelloTellsOfDrain in the encoding. Both pass now, the first five times with the race detector.

--- a/internal/oriolemessage/codec_test.go
+++ b/internal/oriolemessage/codec_test.go
@@ -195,3 +195,23 @@
 		}
 	})
 }
+
+// TestHelloTellsOfDrain checks that a link's first message says whether its sender
+// drains; a message without the field is from a gateway that doesn't say.
+func TestHelloTellsOfDrain(t *testing.T) {
+	is := is.New(t)
+	draining := member
+	draining.Draining = true
+	for _, m := range []oriole.Member{member, draining} {
+		received, err := roundTrip(t, oriolemessage.Frame{Hello: oriolemessage.FromMember(m)}).Hello.ToMember()
+		is.NoErr(err)
+		is.Equal(received, m)
+	}
+	data, err := cbor.Marshal(map[string]any{"hello": map[string]any{"id": "vm.1", "vm": "vm", "zone": "z", "peers": "10.0.0.1:7", "weight": 0.5}})
+	is.NoErr(err)
+	old, err := oriolemessage.Decode[oriolemessage.Frame](data)
+	is.NoErr(err)
+	received, err := old.Hello.ToMember()
+	is.NoErr(err)
+	is.Equal(received, member)
+}
--- a/internal/oriolemessage/convert.go
+++ b/internal/oriolemessage/convert.go
@@ -134,12 +134,14 @@
 
 // FromMember returns the message that identifies a gateway on a new link.
 func FromMember(m oriole.Member) *Hello {
-	return &Hello{Id: string(m.ID), Vm: m.VM, Zone: string(m.Zone), PeerAddr: m.PeerAddr.String(), Weight: m.Weight}
+	return &Hello{Id: string(m.ID), Vm: m.VM, Zone: string(m.Zone), PeerAddr: m.PeerAddr.String(), Weight: m.Weight, Draining: m.Draining}
 }
 
 // ToMember returns the gateway that opened the link.
 func (h *Hello) ToMember() (m oriole.Member, err error) {
-	return toMember(h.Id, h.Vm, h.Zone, h.PeerAddr, h.Weight)
+	m, err = toMember(h.Id, h.Vm, h.Zone, h.PeerAddr, h.Weight)
+	m.Draining = h.Draining
+	return m, err
 }
 
 // FromGateway returns the entry that a gateway has in the store.
--- a/internal/oriolemessage/message_gen.go
+++ b/internal/oriolemessage/message_gen.go
@@ -239,6 +239,9 @@
 	// Id corresponds to the JSON schema field "id".
 	Id string `json:"id"`
 
+	// Draining reports whether the gateway is draining.
+	Draining bool `json:"leaving"`
+
 	// PeerAddr is the address that other gateways connect to.
 	PeerAddr string `json:"peers"`
 
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -230,6 +230,9 @@
 	// This link carries the peer's requests and the responses to them. This
 	// gateway's own requests go over the link that it dials itself.
 	l := newLink(member.ID, conn)
+	// The peer may send requests at once, unless it learns of a drain.
+	_, heartbeat := p.tick(p.cfg.Timers.Now())
+	l.out.Offer(&outgoing{frame: &oriolemessage.Frame{Heartbeat: heartbeat}})
 	p.mu.Lock()
 	p.accepted[l] = true
 	p.mu.Unlock()
@@ -413,8 +416,10 @@
 		return false
 	}
 	l := newLink(d.to.ID, conn)
-	l.out.Offer(&outgoing{frame: &oriolemessage.Frame{Hello: oriolemessage.FromMember(p.cfg.Self)}})
-	l.out.Offer(&outgoing{frame: &oriolemessage.Frame{Heartbeat: p.cfg.Receiver.Heartbeat()}})
+	self, heartbeat := p.cfg.Self, p.cfg.Receiver.Heartbeat()
+	self.Draining = heartbeat.Draining
+	l.out.Offer(&outgoing{frame: &oriolemessage.Frame{Hello: oriolemessage.FromMember(self)}})
+	l.out.Offer(&outgoing{frame: &oriolemessage.Frame{Heartbeat: heartbeat}})
 	p.mu.Lock()
 	p.links[d.to.ID] = l
 	p.liveness.RecordFrame(p.cfg.Timers.Now(), d.to.ID)
--- a/internal/oriolerouter/oriolelink/links_test.go
+++ b/internal/oriolerouter/oriolelink/links_test.go
@@ -45,6 +45,16 @@
 	t.Helper()
 	receiver := frameReceiver{make(chan *oriolemessage.Frame, 16), make(chan func(oriole.Response), 16)}
 	timers := orioletimer.New()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = timers.Serve(ctx) }()
+	links, self := startLinksWith(t, id, receiver, timers)
+	return links, self, receiver
+}
+
+// startLinksWith is like startLinks, with the receiver and the timers.
+func startLinksWith(t *testing.T, id oriole.GatewayID, receiver Receiver, timers oriole.Timers) (*Links, oriole.Member) {
+	t.Helper()
 	cfg := Config{
 		Metrics: orioletelemetry.NewMetrics(), Log: &log.Logger{Handler: discard.New()}, Clock: &orioletelemetry.LogicalClock{},
 		Timers: timers, Receiver: receiver,
@@ -56,14 +66,52 @@
 	server.Start()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := links.ServeBackground(ctx)
-	go func() { _ = timers.Serve(ctx) }()
 	t.Cleanup(func() {
 		cancel()
 		<-done
 		server.CloseClientConnections()
 		server.Close()
 	})
-	return links, cfg.Self, receiver
+	return links, cfg.Self
+}
+
+// drainingReceiver is the receiver of a gateway that drains. It passes on the
+// members that open links.
+type drainingReceiver struct {
+	frameReceiver
+	members chan oriole.Member
+}
+
+func (drainingReceiver) Heartbeat() *oriolemessage.Heartbeat {
+	return &oriolemessage.Heartbeat{Draining: true}
+}
+
+func (r drainingReceiver) HandlePeer(_ context.Context, m oriole.Member) { r.members <- m }
+
+// noTicks are timers that never tick, so that no periodic heartbeat is sent.
+type noTicks struct{}
+
+func (noTicks) Now() time.Time                                     { return time.Now() }
+func (noTicks) Subscribe(time.Duration) (<-chan time.Time, func()) { return nil, func() {} }
+
+// TestNewLinkTellsOfDrain guards against a gateway that has just connected to one
+// which drains, and sends it requests until the next periodic heartbeat.
+func TestNewLinkTellsOfDrain(t *testing.T) {
+	is := is.New(t)
+	receiver := drainingReceiver{members: make(chan oriole.Member, 1)}
+	_, member := startLinksWith(t, "draining.1", receiver, noTicks{})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	frame, err := readRaw(ctx, dialRaw(t, member, "other.1"))
+	is.NoErr(err)
+	is.True(frame.Heartbeat != nil && frame.Heartbeat.Draining) // on a link that it accepts
+	<-receiver.members
+
+	peer := drainingReceiver{members: make(chan oriole.Member, 1)}
+	_, peerMember := startLinksWith(t, "peer.1", peer, noTicks{})
+	draining, _ := startLinksWith(t, "draining.2", receiver, noTicks{})
+	draining.SetMembers(nil, map[oriole.GatewayID]oriole.Member{peerMember.ID: peerMember})
+	is.True((<-peer.members).Draining) // on a link that it opens
 }
 
 // TestFramesUseAcceptedLinks checks that a gateway reaches peers that it keeps no
