Duties that report to the leader duty end when they are stopped

Callers saw nothing of it so far; operators saw a process that was still alive at the end of its grace period and was killed.

Cause: the duties that report the load of keys, the durations of requests and unreachable upstreams put their reports into the leader's ring with a context that is never done. When the process stops, the leader duty may end first. Once the ring is full, the others can't end.

Change: reports are given the context of the duty that makes them.

--- a/internal/oriolerouter/orioledispatcher/crash.go
+++ b/internal/oriolerouter/orioledispatcher/crash.go
@@ -1,6 +1,7 @@
 package orioledispatcher
 
 import (
+	"context"
 	"time"
 
 	"github.com/apex/log"
@@ -13,7 +14,7 @@
 // sent. If the connection broke, the request is suspected of crashing the
 // upstream. If no connection could be opened, the incarnation counts as ended.
 // Any other result clears the suspicions against requests to the upstream.
-func (d *poolDuty) trackCrashes(now time.Time, req *pendingRequest, response oriole.Response) {
+func (d *poolDuty) trackCrashes(ctx context.Context, now time.Time, req *pendingRequest, response oriole.Response) {
 	switch {
 	case req == nil:
 	case response.Outcome == oriole.OutcomeUnknown && response.Reason == oriole.ReasonConnection:
@@ -21,7 +22,7 @@
 	case response.Outcome == oriole.OutcomeNotRun && response.Reason == oriole.ReasonConnection:
 		d.recordCrashes(now, req.incarnation)
 		if req.pool.Server != "" {
-			d.dispatcher.cfg.ReportUnreachable(req.pool.Service, req.incarnation)
+			d.dispatcher.cfg.ReportUnreachable(ctx, req.pool.Service, req.incarnation)
 		}
 	default:
 		d.crashes.ClearSuspect(req.incarnation)
--- a/internal/oriolerouter/orioledispatcher/dispatcher.go
+++ b/internal/oriolerouter/orioledispatcher/dispatcher.go
@@ -52,12 +52,12 @@
 	Log     log.Interface
 	// ReportDurations is called every durationReportInterval with the mean
 	// request durations of a sharded service's upstreams.
-	ReportDurations func(service oriole.ServiceName, durations map[oriole.ServerID]time.Duration)
+	ReportDurations func(ctx context.Context, service oriole.ServiceName, durations map[oriole.ServerID]time.Duration)
 	// ReportCrash reports to peers that a request crashed an upstream.
 	ReportCrash func(fingerprint oriolecrash.Fingerprint, incarnation oriole.Incarnation)
 	// ReportUnreachable reports that an upstream of a sharded service accepted no
 	// connection.
-	ReportUnreachable func(service oriole.ServiceName, incarnation oriole.Incarnation)
+	ReportUnreachable func(ctx context.Context, service oriole.ServiceName, incarnation oriole.Incarnation)
 	// CloseIdleConns is called when the cluster state changes, to close idle
 	// connections to incarnations for which keep returns false: the directory no
 	// longer lists them.
--- a/internal/oriolerouter/orioledispatcher/dispatcher_test.go
+++ b/internal/oriolerouter/orioledispatcher/dispatcher_test.go
@@ -45,9 +45,9 @@
 	spec := suture.Spec{EventHook: func(suture.Event) {}}
 	disp = New(Config{
 		State: fixedState{state}, Sender: sender, Timers: timers, Metrics: orioletelemetry.NewMetrics(), Log: &log.Logger{Handler: discard.New()},
-		ReportDurations:   func(oriole.ServiceName, map[oriole.ServerID]time.Duration) {},
+		ReportDurations:   func(context.Context, oriole.ServiceName, map[oriole.ServerID]time.Duration) {},
 		ReportCrash:       func(oriolecrash.Fingerprint, oriole.Incarnation) {},
-		ReportUnreachable: func(oriole.ServiceName, oriole.Incarnation) {},
+		ReportUnreachable: func(context.Context, oriole.ServiceName, oriole.Incarnation) {},
 		CloseIdleConns:    func(func(oriole.Incarnation) bool) {},
 	}, spec)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/oriolerouter/orioledispatcher/duty.go
+++ b/internal/oriolerouter/orioledispatcher/duty.go
@@ -53,7 +53,7 @@
 	for {
 		select {
 		case <-reports:
-			d.reportDurations()
+			d.reportDurations(ctx)
 		case e := <-disp.events.Out():
 			d.handle(ctx, disp.cfg.Timers.Now(), e)
 		case <-changed:
@@ -81,7 +81,7 @@
 		d.crashes.RecordCrash(now, e.crash.fingerprint, e.crash.incarnation)
 	case e.result != nil:
 		if p := d.pools[e.result.pool]; p != nil {
-			d.trackCrashes(now, p.jobs[e.result.job], e.result.response)
+			d.trackCrashes(ctx, now, p.jobs[e.result.job], e.result.response)
 			p.pool.Finish(now, e.result.job, e.result.response)
 			d.execute(ctx, e.result.pool, p)
 		}
@@ -194,7 +194,7 @@
 
 // reportDurations reports the mean request durations at the upstreams of
 // sharded services.
-func (d *poolDuty) reportDurations() {
+func (d *poolDuty) reportDurations(ctx context.Context) {
 	byService := make(map[oriole.ServiceName]map[oriole.ServerID]time.Duration)
 	for id, p := range d.pools {
 		if id.Server == "" {
@@ -208,7 +208,7 @@
 		})
 	}
 	for service, durations := range byService {
-		d.dispatcher.cfg.ReportDurations(service, durations)
+		d.dispatcher.cfg.ReportDurations(ctx, service, durations)
 	}
 }
 
--- a/internal/oriolerouter/orioleingress/forwarder.go
+++ b/internal/oriolerouter/orioleingress/forwarder.go
@@ -69,7 +69,7 @@
 	Log        log.Interface
 	// ReportLoad reports the number of requests by key bucket to the leader of a
 	// service.
-	ReportLoad func(service oriole.ServiceName, counts map[int]int)
+	ReportLoad func(ctx context.Context, service oriole.ServiceName, counts map[int]int)
 }
 
 // Forwarder routes requests in the gateway that received them, independent of the
--- a/internal/oriolerouter/orioleingress/http.go
+++ b/internal/oriolerouter/orioleingress/http.go
@@ -337,7 +337,7 @@
 		select {
 		case <-ticks:
 			for service, counts := range d.Forwarder.TakeLoadCounts() {
-				d.Forwarder.cfg.ReportLoad(service, counts)
+				d.Forwarder.cfg.ReportLoad(ctx, service, counts)
 			}
 		case <-ctx.Done():
 			return ctx.Err()
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -167,8 +167,8 @@
 	r.dispatcher = orioledispatcher.New(orioledispatcher.Config{
 		State: r.tracker, Sender: r.platform.Sender, Timers: r.timers, Metrics: r.metrics, Log: r.log, CloseIdleConns: r.platform.CloseIdleConns,
 		ReportCrash: r.reportCrash, ReportUnreachable: r.reportUnreachable,
-		ReportDurations: func(service oriole.ServiceName, durations map[oriole.ServerID]time.Duration) {
-			r.reportLoad(service, nil, durations)
+		ReportDurations: func(ctx context.Context, service oriole.ServiceName, durations map[oriole.ServerID]time.Duration) {
+			r.reportLoad(ctx, service, nil, durations)
 		},
 	}, spec)
 	r.leader = orioleleader.New(orioleleader.Config{
@@ -180,7 +180,9 @@
 	}, spec)
 	r.forwarder = orioleingress.NewForwarder(orioleingress.ForwarderConfig{
 		Self: r.self, State: r.tracker, Dispatcher: r.dispatcher, Peers: r.links, Clock: r.timers, Metrics: r.metrics, Log: r.log,
-		ReportLoad: func(service oriole.ServiceName, counts map[int]int) { r.reportLoad(service, counts, nil) },
+		ReportLoad: func(ctx context.Context, service oriole.ServiceName, counts map[int]int) {
+			r.reportLoad(ctx, service, counts, nil)
+		},
 	})
 	handler := orioleingress.NewHandler(r.forwarder, r.platform.Dialect)
 	r.callerServer = orioleingress.NewServer("serve callers", listeners[0], handler, r.idleTimeout)
@@ -266,12 +268,12 @@
 
 // reportUnreachable reports an upstream that did not accept a connection to the
 // leader of its service.
-func (r *Router) reportUnreachable(service oriole.ServiceName, incarnation oriole.Incarnation) {
+func (r *Router) reportUnreachable(ctx context.Context, service oriole.ServiceName, incarnation oriole.Incarnation) {
 	a := r.tracker.Snapshot().Assignments[service]
 	switch {
 	case a == nil:
 	case a.Leader == r.self.ID:
-		r.leader.ReportUnreachable(context.Background(), service, incarnation)
+		r.leader.ReportUnreachable(ctx, service, incarnation)
 	default:
 		r.links.Send(a.Leader, &oriolemessage.Frame{Suspect: oriolemessage.FromSuspect(service, incarnation)})
 	}
@@ -296,13 +298,13 @@
 
 // reportLoad reports the load of a service's keys and the mean request duration
 // of its upstreams to the leader of the service.
-func (r *Router) reportLoad(service oriole.ServiceName, counts map[int]int, durations map[oriole.ServerID]time.Duration) {
+func (r *Router) reportLoad(ctx context.Context, service oriole.ServiceName, counts map[int]int, durations map[oriole.ServerID]time.Duration) {
 	a := r.tracker.Snapshot().Assignments[service]
 	if a == nil {
 		return
 	}
 	if a.Leader == r.self.ID {
-		r.leader.AddLoad(context.Background(), service, counts, durations)
+		r.leader.AddLoad(ctx, service, counts, durations)
 		return
 	}
 	r.links.Send(a.Leader, &oriolemessage.Frame{Load: oriolemessage.FromLoad(service, counts, durations)})
