A duty or a log that hangs does not outlast the grace period

Operators saw: a gateway that was stopped was still alive at the end of its grace period and was killed, which resets the connections that it had not closed.

Cause: after the drain the process waits for its supervisor, which waits up to 10 s for a duty that doesn't end; 0.5 s of the grace period were left for it. The log duty is one: it writes to a pipe, and blocks while nobody reads. The rest of the log was then written without any limit.

Change: supervisors wait 0.2 s for their duties, and the rest of the log is written for at most 0.1 s. Both are in oriolestop, beside the reserve that they fit into.

--- a/internal/oriolegateway/gateway.go
+++ b/internal/oriolegateway/gateway.go
@@ -6,6 +6,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/pkg/errors"
@@ -14,6 +15,7 @@
 	"github.com/orioleswitch/orioleswitch/internal/oriolerouter/oriolelog"
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
 	"github.com/orioleswitch/orioleswitch/internal/orioleupstream"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolestop"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
 	"github.com/orioleswitch/orioleswitch/platform"
 )
@@ -58,10 +60,26 @@
 	return &Gateway{router, logger}, func() {
 		closeRouter()
 		closeClients()
-		logHandler.Flush()
+		flush(logHandler)
 	}, nil
 }
 
+// flush writes the queued log lines, for at most oriolestop.FlushTimeout: nobody may
+// read the log.
+func flush(logHandler *oriolelog.Handler) {
+	flushed := make(chan struct{})
+	go func() {
+		defer close(flushed)
+		logHandler.Flush()
+	}()
+	timer := time.NewTimer(oriolestop.FlushTimeout)
+	defer timer.Stop()
+	select {
+	case <-flushed:
+	case <-timer.C:
+	}
+}
+
 // maxLoggedEntries limits the directory entries that are remembered as logged.
 // Beyond it, decoding errors are only counted.
 const maxLoggedEntries = 1024
--- a/internal/oriolerouter/drain_test.go
+++ b/internal/oriolerouter/drain_test.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/matryer/is"
+	"github.com/thejerf/suture/v4"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolerouter"
 	"github.com/orioleswitch/orioleswitch/internal/orioleupstream"
@@ -163,3 +164,27 @@
 	is.NoErr(<-drained)
 	_ = stop()
 }
+
+// stubbornDuty doesn't end when it should.
+type stubbornDuty struct{ started, released chan struct{} }
+
+func (d stubbornDuty) Serve(context.Context) error {
+	close(d.started)
+	<-d.released
+	return suture.ErrDoNotRestart
+}
+
+// TestStubbornDutyDoesNotOutlastGracePeriod guards against a process that is killed
+// because one of its duties doesn't end.
+func TestStubbornDutyDoesNotOutlastGracePeriod(t *testing.T) {
+	is := is.New(t)
+	duty := stubbornDuty{make(chan struct{}), make(chan struct{})}
+	defer close(duty.released)
+	r, _, stop := startRouter(t, standin.NewStore(), func(d oriole.Directory) oriole.Directory { return d })
+	r.Add(duty)
+	<-duty.started
+	begin := time.Now()
+	is.NoErr(r.Drain(context.Background()))
+	_ = stop()
+	is.True(time.Since(begin) < gracePeriod)
+}
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -154,7 +154,7 @@
 
 // buildTree creates the subtrees and adds them to the supervisor.
 func (r *Router) buildTree(listeners []net.Listener) {
-	spec := suture.Spec{EventHook: r.logDutyEvent}
+	spec := suture.Spec{EventHook: r.logDutyEvent, Timeout: oriolestop.DutyTimeout}
 	r.Supervisor = suture.New("gateway", spec)
 	r.tracker = oriolestate.New(oriolestate.Config{
 		Self: r.self, Directory: r.platform.Directory, Timers: r.timers, Log: r.log, BroadcastUpdate: r.broadcastUpdate, RequestAssignment: r.requestAssignment,
--- a/pkg/oriole/oriolestop/stop.go
+++ b/pkg/oriole/oriolestop/stop.go
@@ -16,6 +16,11 @@
 	// answerReserve is the time left to write responses that arrive at the
 	// deadlines of their requests.
 	answerReserve = 250 * time.Millisecond
+	// DutyTimeout is how long the process waits for its duties to end, and
+	// FlushTimeout how long it writes the rest of the log. Together they are
+	// shorter than exitReserve.
+	DutyTimeout  = 200 * time.Millisecond
+	FlushTimeout = 100 * time.Millisecond
 )
 
 // Schedule is the course of a planned stop. A nil Schedule is that of a gateway
