A grant that gets two responses on a kept connection is not confirmed

A leader could count a lease as renewed that its upstream had refused.

Responses to grants name no call. A late copy of the response to an earlier grant on the kept connection was taken for the response to the next one. The copy of a 200 counted as a renewal; the copy of a 409 was safe, since a fenced upstream counts as holding its lease, but cost the range a new fencing token.

--- a/internal/orioleupstream/client.go
+++ b/internal/orioleupstream/client.go
@@ -70,6 +70,10 @@
 	Conn oriole.ConnID
 	// RequestID is the ID that the response repeats, or empty if it repeats none.
 	RequestID string
+	// ExtraWait is set for calls whose responses bear no ID. On a connection that
+	// has carried an earlier call, it is how long to wait for an extra response. If
+	// one comes, either may be a late copy of an earlier one, and the call fails.
+	ExtraWait time.Duration
 	// MayRepeat reports whether the request may be sent again after its response.
 	// It is then sent on another connection, as a late copy of the response may
 	// arrive on this one. It may be nil.
--- a/internal/orioleupstream/conn.go
+++ b/internal/orioleupstream/conn.go
@@ -211,7 +211,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	c.tracker.started.Store(false)
-	req := call.Request
+	req, hasPast := call.Request, c.used
 	written := make(chan error, 1)
 	if req.ContentLength <= bufferSize {
 		written <- c.write(req)
@@ -224,6 +224,9 @@
 	if err != nil {
 		return nil, false, err
 	}
+	if hasPast && call.ExtraWait > 0 && c.receivesWithin(call.ExtraWait) {
+		return nil, false, ErrAmbiguous
+	}
 	select {
 	case err := <-written:
 		return resp, reusable && err == nil && stop(), nil
@@ -233,6 +236,15 @@
 	}
 }
 
+// receivesWithin reports whether bytes arrive within the wait.
+func (c *conn) receivesWithin(wait time.Duration) bool {
+	// If a deadline can't be set, the connection has failed.
+	_ = c.SetReadDeadline(time.Now().Add(wait))
+	_, err := c.in.Peek(1)
+	_ = c.SetReadDeadline(time.Time{})
+	return err == nil
+}
+
 func (c *conn) write(req *http.Request) error {
 	out := io.Writer(c.out)
 	if strings.HasPrefix(req.URL.Opaque, "//") {
--- a/internal/orioleupstream/read_test.go
+++ b/internal/orioleupstream/read_test.go
@@ -3,12 +3,19 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"net/url"
+	"os"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
 )
 
 // scriptedConn is a connection from which data can be read, and then end.
@@ -98,3 +105,54 @@
 		}
 	})
 }
+
+// partsConn is a connection from which the parts can be read one by one, and then
+// an error.
+type partsConn struct {
+	net.Conn
+	parts []string
+	err   error
+}
+
+func (c *partsConn) Read(data []byte) (int, error) {
+	if len(c.parts) == 0 {
+		return 0, c.err
+	}
+	n := copy(data, c.parts[0])
+	c.parts = c.parts[1:]
+	return n, nil
+}
+
+func (c *partsConn) Write(data []byte) (int, error) { return len(data), nil }
+
+func (c *partsConn) SetReadDeadline(time.Time) error { return nil }
+
+// Where responses bear no ID, an extra one that comes a moment later makes the
+// first ambiguous on a connection that has carried an earlier call.
+func TestExtraResponseIsAwaitedWhereNoneBearsID(t *testing.T) {
+	const text = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+	for _, test := range []struct {
+		name  string
+		parts []string
+		used  bool
+		want  error
+	}{
+		{"extra response", []string{text, text}, true, ErrAmbiguous},
+		{"none in time", []string{text}, true, nil},
+		{"new connection", []string{text, text}, false, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			raw := &partsConn{parts: test.parts, err: os.ErrDeadlineExceeded}
+			c := &conn{Conn: raw, head: headLimiter{conn: raw, remaining: -1}, used: test.used}
+			c.in, c.out = bufio.NewReaderSize(&c.head, bufferSize), bufio.NewWriter(io.Discard)
+			_, reusable, err := c.exchange(context.Background(), Call{
+				Request:        &http.Request{Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: "h", Path: "/"}},
+				MatchesRequest: func(*http.Response) bool { return true },
+				ExtraWait:      time.Millisecond,
+			})
+			is.True(errors.Is(err, test.want))
+			is.Equal(reusable, test.want == nil)
+		})
+	}
+}
