Tests: "not run" is said of requests only that were not sent

No path was found on which a caller is told "not run" for a request that an upstream has run or was running, or on which a request that isn't idempotent is sent again after an unknown outcome.

--- a/internal/oriolerouter/orioleingress/forwarder_test.go
+++ b/internal/oriolerouter/orioleingress/forwarder_test.go
@@ -195,3 +195,50 @@
 	cancel()
 	<-stopped
 }
+
+// losingDispatcher has an unknown outcome for each request, and loses the upstream.
+type losingDispatcher struct{ state *oriole.ClusterState }
+
+func (d losingDispatcher) Do(_ context.Context, _ oriole.Request, reply func(oriole.Response)) {
+	delete(d.state.Upstreams, "i")
+	reply(oriole.UnknownResponse(oriole.ReasonConnection))
+}
+
+// A request that may have run must not be reported as not run when no upstream is
+// left for its next attempt.
+func TestRequestThatMayHaveRunIsUnknownWithoutUpstream(t *testing.T) {
+	is := is.New(t)
+	forwarder := newForwarder(nil)
+	forwarder.cfg.Dispatcher = losingDispatcher{forwarder.cfg.State.Snapshot()}
+	for range 20 { // fill the retry budget
+		forwarder.budget.deposit("s")
+	}
+	resp := forwarder.Do(context.Background(), oriole.Request{Service: "s", Idempotent: true, Deadline: time.Now().Add(time.Minute)}, 2)
+	is.Equal(resp.Outcome, oriole.OutcomeUnknown)
+	is.Equal(resp.Reason, oriole.ReasonNoOwner)
+}
+
+// silentDispatcher never replies, as one whose pool duty has restarted.
+type silentDispatcher struct{ attempts chan struct{} }
+
+func (d silentDispatcher) Do(context.Context, oriole.Request, func(oriole.Response)) {
+	d.attempts <- struct{}{}
+}
+
+// A request without a reply must be unknown and not sent again.
+func TestRequestWithoutReplyIsUnknown(t *testing.T) {
+	for _, cancelled := range []bool{false, true} {
+		is := is.New(t)
+		dispatcher := silentDispatcher{make(chan struct{}, 16)}
+		forwarder := newForwarder(dispatcher)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		r := oriole.Request{Service: "s", Idempotent: true, Deadline: time.Now().Add(100 * time.Millisecond)}
+		if cancelled {
+			r.Deadline = time.Now().Add(time.Minute)
+			cancel()
+		}
+		is.Equal(forwarder.Do(ctx, r, 2).Outcome, oriole.OutcomeUnknown)
+		is.Equal(len(dispatcher.attempts), 1)
+	}
+}
--- a/internal/orioleupstream/client_test.go
+++ b/internal/orioleupstream/client_test.go
@@ -579,3 +579,45 @@
 		<-closed
 	}
 }
+
+// A request that was written in part must not be reported as not run.
+func TestPartlyWrittenRequestIsUnknown(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = io.ReadFull(conn, make([]byte, 1000))
+			_ = conn.Close() // a reset, since data is unread
+		}
+	}()
+	r := request("1")
+	for _, size := range []int{2000, 8 << 20} {
+		r.Body = make([]byte, size)
+		resp := newSender(t).Send(context.Background(), oriole.Upstream{ID: "i-1", Addr: netip.MustParseAddrPort(l.Addr().String())}, r)
+		is.Equal(resp.Outcome, oriole.OutcomeUnknown)
+	}
+}
+
+// A request that is cancelled after it was sent must not be reported as not run.
+func TestCancelledRequestIsUnknownOnceSent(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	to := newUpstream(t, func(n int, id string) string {
+		if id == "1" {
+			return okResponse(id)
+		}
+		cancel()
+		return "HTTP/1.1 100 Continue\r\n\r\n"
+	})
+	sender := newSender(t)
+	is.Equal(sender.Send(ctx, to, request("1")).Outcome, oriole.OutcomeAnswered)
+	resp := sender.Send(ctx, to, request("2")) // on the kept connection
+	is.Equal(resp.Outcome, oriole.OutcomeUnknown)
+	is.Equal(resp.Reason, oriole.ReasonCancelled)
+}
