TestEndlessBytes sends the response and what follows in one write

Seen once in some twenty runs on a busy machine: after_a_response, the second call "unknown" instead of "answered". The upstream of the test wrote its response and the endless bytes in two writes. When it was held up between them, the connection was idle and clean in the meantime, and the next call took it. That outcome is the true one; the test's claim is about bytes that follow the response, which one write makes certain.

--- a/internal/orioleupstream/client_test.go
+++ b/internal/orioleupstream/client_test.go
@@ -290,8 +290,10 @@
 				if err != nil {
 					return
 				}
-				n, err := io.WriteString(conn, prefix(req.Header.Get("X-Attempt-Id")))
 				block := strings.Repeat(endless, 512)
+				// One write: bytes that come after the connection is idle again can
+				// meet the next request.
+				n, err := io.WriteString(conn, prefix(req.Header.Get("X-Attempt-Id"))+block)
 				for err == nil {
 					var m int
 					m, err = io.WriteString(conn, block)
