--- a/internal/oriolesite/site_test.go
+++ b/internal/oriolesite/site_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolesite"
+	"github.com/orioleswitch/orioleswitch/platform/standin"
 )
 
 func newSite(t *testing.T) *oriolesite.Site {
@@ -122,6 +123,34 @@
 	is.Equal(other.Status, http.StatusOK)
 }
 
+// TestFaultyResponses checks that no caller is told that a request which ran has
+// not run, that none runs twice, and that no response is mistaken for another or
+// broken off, when upstreams repeat refusals late or cut the heads of responses.
+func TestFaultyResponses(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		option standin.Option
+	}{
+		{"repeated refusals", standin.WithRepeatedRefusals(10)},
+		{"cut heads", standin.WithCutHeads(10)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s, cleanup, err := oriolesite.New(oriolesite.Config{
+				ShardedUpstreams: 1, UnshardedUpstreams: 1, VMs: oriolesite.VMs, Options: []standin.Option{test.option},
+			})
+			is.NoErr(err)
+			defer cleanup()
+			stop := s.StartLoad(oriolesite.VMs...)
+			time.Sleep(2 * time.Second)
+			summary := stop()
+			t.Logf("%+v", summary)
+			is.Equal(len(summary.Violations), 0)
+			is.True(summary.Served > summary.Requests/2)
+		})
+	}
+}
+
 func TestUnknownScenario(t *testing.T) {
 	is := is.New(t)
 	_, err := oriolesite.FindScenario("flood")
