A request read from an idle connection is not lost with it

Callers could see a request cut off in a planned stop, or at the idle timeout of their connection, although the gateway had read it.

Cause: closeIdle closed a connection from which nothing had been read. A read that had its bytes already, but had not marked them yet, was told that the connection was closed, and the bytes were dropped.

Change: closeIdle ends the reads of the connection by a deadline in the past; then net/http closes it. A read that has bytes takes the deadline back, and the request is served. Bytes that arrive later stay unread.

Evidence: TestRequestReadFromIdleConnectionIsKept failed before ("use of closed network connection") and passes now, with TestShutdownWaitsForConnections, five times with the race detector.

--- a/internal/oriolerouter/orioleingress/listener.go
+++ b/internal/oriolerouter/orioleingress/listener.go
@@ -85,23 +85,27 @@
 	net.Conn
 	mu sync.Mutex
 	// idleSince is when the connection became idle, or zero if it is active.
-	// received says that bytes were read since then, and closed that the
-	// connection was closed and returns no more data.
+	// received says that bytes were read since then, and closing that reads are
+	// ended, so that net/http closes the connection.
 	idleSince time.Time
 	received  bool
-	closed    bool
+	closing   bool
 	timer     *time.Timer
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. A request whose first bytes were read just before the
+// connection would have been closed is served.
 func (c *trackedConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		return 0, net.ErrClosed
-	}
 	c.received = c.received || n > 0
+	if n > 0 && c.closing {
+		c.closing = false
+		if err := c.Conn.SetReadDeadline(time.Now().Add(headerTimeout)); err != nil {
+			return n, err
+		}
+	}
 	return n, err
 }
 
@@ -126,15 +130,16 @@
 	}
 }
 
-// closeIdle closes the connection if it has been idle for minIdleBeforeClose and
-// nothing was read.
+// closeIdle ends reads of the connection, so that net/http closes it, if it has
+// been idle for minIdleBeforeClose and nothing was read. It doesn't close the
+// connection itself: bytes may just have been read, which must be answered.
 func (c *trackedConn) closeIdle() {
 	c.mu.Lock()
-	idle := !c.idleSince.IsZero() && time.Since(c.idleSince) >= minIdleBeforeClose && !c.received && !c.closed
-	c.closed = c.closed || idle
-	c.mu.Unlock()
-	if idle {
-		// Read returns no more data even if Close fails.
-		_ = c.Conn.Close()
+	defer c.mu.Unlock()
+	if c.idleSince.IsZero() || time.Since(c.idleSince) < minIdleBeforeClose || c.received {
+		return
 	}
+	c.closing = true
+	// An error means that the connection is closed.
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
--- a/internal/oriolerouter/orioleingress/stop_test.go
+++ b/internal/oriolerouter/orioleingress/stop_test.go
@@ -219,3 +219,53 @@
 		})
 	}
 }
+
+// racingConn is a connection on which bytes arrive just before it is to be closed:
+// Read has them when it is released.
+type racingConn struct {
+	net.Conn
+	reading, release chan struct{}
+	closed           bool
+	readDeadline     time.Time
+}
+
+func (c *racingConn) Read(data []byte) (int, error) {
+	close(c.reading)
+	<-c.release
+	return copy(data, "GET"), nil
+}
+
+func (c *racingConn) Close() error {
+	c.closed = true
+	return nil
+}
+
+func (c *racingConn) SetReadDeadline(t time.Time) error {
+	c.readDeadline = t
+	return nil
+}
+
+// TestRequestReadFromIdleConnectionIsKept guards against closing an idle connection
+// after the bytes of a request were read from it.
+func TestRequestReadFromIdleConnectionIsKept(t *testing.T) {
+	is := is.New(t)
+	raw := &racingConn{reading: make(chan struct{}), release: make(chan struct{})}
+	conn := &trackedConn{Conn: raw}
+	conn.setIdle(time.Now().Add(-time.Minute), 0)
+	read := make(chan error, 1)
+	data := make([]byte, 8)
+	go func() {
+		n, err := conn.Read(data)
+		data = data[:n]
+		read <- err
+	}()
+	<-raw.reading
+	conn.closeIdle()
+	close(raw.release)
+	is.NoErr(<-read)
+	is.Equal(string(data), "GET")
+	is.True(!raw.closed)
+	is.True(raw.readDeadline.After(time.Now())) // the rest can be read
+	conn.closeIdle()
+	is.True(raw.readDeadline.After(time.Now()))
+}
