Requests still queued at the end of a stop are refused

Callers could see a request cut off without a response at the end of a planned stop although no upstream had started it: one that was taken before the stop, with a deadline after its end, and that waited in a queue.

Cause: the dispatcher kept such requests queued until the process exited.

Change: once responses are due, the dispatcher gives its queued requests back as not run. Their forwarders ask another dispatcher; the gateway that stops answers 503.

--- a/internal/oriolerouter/orioledispatcher/dispatcher_test.go
+++ b/internal/oriolerouter/orioledispatcher/dispatcher_test.go
@@ -113,3 +113,23 @@
 	sender.release <- struct{}{}
 	is.Equal((<-submit(disp, 2*time.Second)).Outcome, oriole.OutcomeAnswered)
 }
+
+// TestQueuedRequestsAreRefusedBeforeTheEnd guards against cutting off requests that
+// still wait when the process ends.
+func TestQueuedRequestsAreRefusedBeforeTheEnd(t *testing.T) {
+	is := is.New(t)
+	disp, sender := startDispatcher(t)
+	running := []<-chan oriole.Response{submit(disp, time.Minute), submit(disp, time.Minute)}
+	<-sender.started
+	<-sender.started
+	queued := submit(disp, time.Minute)
+	const grace = 6 * time.Second
+	disp.Stop(oriolestop.New(time.Now().Add(-grace), grace))
+	refused := refusal(t, queued, sender)
+	is.Equal(refused.Outcome, oriole.OutcomeNotRun)
+	is.Equal(refused.Reason, oriole.ReasonMoved)
+	for _, responses := range running {
+		sender.release <- struct{}{}
+		is.Equal((<-responses).Outcome, oriole.OutcomeAnswered)
+	}
+}
--- a/internal/oriolerouter/orioledispatcher/duty.go
+++ b/internal/oriolerouter/orioledispatcher/duty.go
@@ -184,6 +184,10 @@
 	for id, p := range d.pools {
 		switch {
 		case p.pool.QueueLen() > 0:
+			if !d.dispatcher.schedule.Load().Starts(now) {
+				// They have not run, so other dispatchers may run them.
+				p.pool.Evict(func(oriole.Request) bool { return true })
+			}
 			p.pool.Tick(now)
 			d.execute(ctx, id, p)
 		case p.pool.Idle() && now.Sub(p.lastUsed) > poolIdleTimeout:
--- a/pkg/oriole/oriolestop/stop.go
+++ b/pkg/oriole/oriolestop/stop.go
@@ -50,3 +50,9 @@
 func (s *Schedule) Admits(deadline time.Time) bool {
 	return s == nil || !deadline.After(s.AnswerUntil)
 }
+
+// Starts reports whether queued requests may still be sent to upstreams. Requests
+// that were queued before the stop may have any deadline.
+func (s *Schedule) Starts(now time.Time) bool {
+	return s == nil || now.Before(s.AnswerUntil)
+}
--- a/pkg/oriole/oriolestop/stop_test.go
+++ b/pkg/oriole/oriolestop/stop_test.go
@@ -51,3 +51,16 @@
 		is.True(schedule.CutAt.Add(oriolestop.DutyTimeout + oriolestop.FlushTimeout).Before(start.Add(grace)))
 	}
 }
+
+// TestQueuedRequestsStartUntilAnswersAreDue checks until when requests that waited
+// before the stop are sent to upstreams.
+func TestQueuedRequestsStartUntilAnswersAreDue(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	schedule := oriolestop.New(start, 6*time.Second)
+	is.True(schedule.Starts(start))
+	is.True(schedule.Starts(schedule.AnswerUntil.Add(-1)))
+	is.True(!schedule.Starts(schedule.AnswerUntil))
+	var running *oriolestop.Schedule
+	is.True(running.Starts(start))
+}
