A test plays a planned stop with long requests and a silent store

TestDrainCutsOffNoRequest lets callers come every 0.2 s throughout the stop of a gateway, each on a new connection, with requests that run for 3.6 s of the 4 s that their route allows, and checks that none that has run ends without its response.

--- a/internal/oriolerouter/drain_test.go
+++ b/internal/oriolerouter/drain_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -120,24 +123,33 @@
 	<-directory.withdrawn
 }
 
+// putConfig writes a configuration of one service with a route for each timeout, by
+// prefix.
+func putConfig(t *testing.T, store *standin.Store, service string, timeouts map[string]time.Duration) {
+	t.Helper()
+	cfg := wire.Config{
+		Version:   1,
+		Limits:    wire.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
+		Listeners: []wire.Listener{{Host: "h"}},
+		Clusters:  []wire.Cluster{{Name: service, ColdPerS: 50}},
+	}
+	for prefix, timeout := range timeouts {
+		cfg.Listeners[0].Rules = append(cfg.Listeners[0].Rules, wire.Rule{
+			Name: prefix, Kind: "non_idempotent", TargetLatencyMs: 300, Match: wire.Match{PathPrefix: prefix},
+			Action: wire.Action{Service: &service, TimeoutMs: float64(timeout.Milliseconds()), MaxAttempts: 2},
+		})
+	}
+	if err := store.Put("config", "main", cfg); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestDrainRefusesRequestsThatOutlastIt guards against taking requests in a planned
 // stop that its end would cut off.
 func TestDrainRefusesRequestsThatOutlastIt(t *testing.T) {
 	is := is.New(t)
 	store := standin.NewStore()
-	service := "s"
-	newRule := func(prefix string, timeout time.Duration) wire.Rule {
-		return wire.Rule{
-			Name: prefix, Kind: "idempotent", TargetLatencyMs: 300, Match: wire.Match{PathPrefix: prefix},
-			Action: wire.Action{Service: &service, TimeoutMs: float64(timeout.Milliseconds()), MaxAttempts: 2},
-		}
-	}
-	is.NoErr(store.Put("config", "main", wire.Config{
-		Version:   1,
-		Limits:    wire.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
-		Listeners: []wire.Listener{{Host: "h", Rules: []wire.Rule{newRule("/short/", time.Second), newRule("/long/", gracePeriod)}}},
-		Clusters:  []wire.Cluster{{Name: service, ColdPerS: 50}},
-	}))
+	putConfig(t, store, "s", map[string]time.Duration{"/short/": time.Second, "/long/": gracePeriod})
 	r, settings, stop := startRouter(t, store, func(d oriole.Directory) oriole.Directory { return d })
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	reason := func(path string) string {
@@ -188,3 +200,79 @@
 	_ = stop()
 	is.True(time.Since(begin) < gracePeriod)
 }
+
+// TestDrainCutsOffNoRequest guards against a planned stop that ends a connection
+// while an upstream works on its request: callers come throughout the stop, with
+// requests that take long, and the directory is silent.
+func TestDrainCutsOffNoRequest(t *testing.T) {
+	is := is.New(t)
+	const (
+		timeout  = 4 * time.Second
+		duration = 3600 * time.Millisecond
+		interval = 200 * time.Millisecond
+	)
+	store, checker := standin.NewStore(), standin.NewChecker()
+	putConfig(t, store, "s", map[string]time.Duration{"/": timeout})
+	const upstreams = 16
+	for i := range upstreams {
+		_, cleanup, err := standin.NewUpstream(checker, store, fmt.Sprintf("u-%d", i), "s", "z", netip.AddrPort{}, standin.WithRequestDuration(duration))
+		is.NoErr(err)
+		defer cleanup()
+	}
+	directory := &silentDirectory{withdrawing: make(chan struct{}), withdrawn: make(chan struct{})}
+	r, settings, stop := startRouter(t, store, func(d oriole.Directory) oriole.Directory {
+		directory.Directory = d
+		return directory
+	})
+	for !r.Ready() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		// As in a process that exits after it has drained.
+		_ = r.Drain(context.Background())
+		_ = stop()
+	}()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	var callers sync.WaitGroup
+	var served, refused atomic.Int64
+	for n, running := 0, true; running; n++ {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			req, err := http.NewRequest(http.MethodPost, "http://"+settings.CallerAddr.String()+"/", strings.NewReader("x"))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			req.Host = "h"
+			id := fmt.Sprintf("id-%d", n)
+			req.Header = standin.CallerHeader(id, n, timeout)
+			resp, err := client.Do(req)
+			if err != nil {
+				if checker.Runs(id) > 0 {
+					t.Errorf("request %d has run and was cut off: %v", n, err)
+				}
+				return
+			}
+			defer func() { _ = resp.Body.Close() }()
+			switch {
+			case resp.StatusCode == http.StatusOK:
+				served.Add(1)
+			case resp.StatusCode == http.StatusServiceUnavailable && checker.Runs(id) == 0:
+				refused.Add(1)
+			default:
+				t.Errorf("request %d has run %d times: status %d, reason %q", n, checker.Runs(id), resp.StatusCode, resp.Header.Get("Oriole-Reason"))
+			}
+		}()
+		select {
+		case <-ended:
+			running = false
+		case <-time.After(interval):
+		}
+	}
+	callers.Wait()
+	t.Logf("%d requests served, %d refused", served.Load(), refused.Load())
+	is.True(served.Load() > 0)
+}
