--- a/internal/oriolerouter/drain_test.go
+++ b/internal/oriolerouter/drain_test.go
@@ -123,6 +123,46 @@
 	<-directory.withdrawn
 }
 
+// slowDirectory is a directory whose Announce takes effect when it is released.
+type slowDirectory struct {
+	oriole.Directory
+	announcing, release chan struct{}
+	listed              atomic.Bool
+	withdrawn           chan bool
+}
+
+func (d *slowDirectory) Announce(context.Context, oriole.Member) error {
+	close(d.announcing)
+	<-d.release
+	d.listed.Store(true)
+	return nil
+}
+
+func (d *slowDirectory) Withdraw(context.Context, oriole.Member) error {
+	d.withdrawn <- d.listed.Swap(false)
+	return nil
+}
+
+// TestSlowAnnouncementIsWithdrawn guards against a directory entry that appears after
+// its gateway has removed it.
+func TestSlowAnnouncementIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	directory := &slowDirectory{announcing: make(chan struct{}), release: make(chan struct{}), withdrawn: make(chan bool, 1)}
+	r, _, stop := startRouter(t, standin.NewStore(), func(d oriole.Directory) oriole.Directory {
+		directory.Directory = d
+		return directory
+	})
+	<-directory.announcing
+	drained := make(chan error, 1)
+	go func() { drained <- r.Drain(context.Background()) }()
+	time.Sleep(100 * time.Millisecond) // usually, the drain has started
+	close(directory.release)
+	is.True(<-directory.withdrawn)
+	is.NoErr(<-drained)
+	_ = stop()
+	is.True(!directory.listed.Load())
+}
+
 // putConfig writes a configuration of one service with a route for each timeout, by
 // prefix.
 func putConfig(t *testing.T, store *standin.Store, service string, timeouts map[string]time.Duration) {
