A stop leaves the read deadline alone once a body was rejected

Found by reading: a body that was rejected for another reason left its connection open, and a stop that began at that moment could have ended the reads of the next request. The deadline is released on each way out of readBody.

Evidence: TestStopLeavesLaterRequestsAlone checks the release; the race itself was not reproduced.

--- a/internal/oriolerouter/orioleingress/http.go
+++ b/internal/oriolerouter/orioleingress/http.go
@@ -201,10 +201,15 @@
 // end replaces the deadline by one for what follows the body; a zero time means
 // none.
 func (d *bodyDeadline) end(next time.Time) {
+	d.release()
+	_ = d.control.SetReadDeadline(next)
+}
+
+// release leaves the deadline to others from now on.
+func (d *bodyDeadline) release() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.read = true
-	_ = d.control.SetReadDeadline(next)
 }
 
 // readBody reads the body of a request, which may come slowly or without end. Its
@@ -213,6 +218,7 @@
 func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (body []byte, rejected *rejection, err error) {
 	control := http.NewResponseController(w)
 	read := &bodyDeadline{control: control}
+	defer read.release()
 	// A server that can't set a deadline is one of a test.
 	_ = control.SetReadDeadline(deadline)
 	if r.ContentLength != 0 {
--- a/internal/oriolerouter/orioleingress/stop_test.go
+++ b/internal/oriolerouter/orioleingress/stop_test.go
@@ -269,3 +269,38 @@
 	conn.closeIdle()
 	is.True(raw.readDeadline.After(time.Now()))
 }
+
+// deadlineRecorder records the read deadline that a handler sets.
+type deadlineRecorder struct {
+	http.ResponseWriter
+	deadline time.Time
+}
+
+func (r *deadlineRecorder) SetReadDeadline(t time.Time) error {
+	r.deadline = t
+	return nil
+}
+
+// TestStopLeavesLaterRequestsAlone guards against a stop that ends the reads of a
+// connection whose body was read or rejected before.
+func TestStopLeavesLaterRequestsAlone(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		finish func(*bodyDeadline)
+	}{
+		{"body read", func(d *bodyDeadline) { d.end(time.Time{}) }},
+		{"body rejected", (*bodyDeadline).release},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			recorder := &deadlineRecorder{}
+			read := &bodyDeadline{control: http.NewResponseController(recorder)}
+			read.expire()
+			is.True(recorder.deadline.Before(time.Now()) && !recorder.deadline.IsZero())
+			recorder.deadline = time.Time{}
+			test.finish(read)
+			read.expire()
+			is.True(recorder.deadline.IsZero())
+		})
+	}
+}
