--- a/internal/oriolerouter/orioledispatcher/dispatcher_test.go
+++ b/internal/oriolerouter/orioledispatcher/dispatcher_test.go
@@ -128,8 +128,10 @@
 	refused := refusal(t, queued, sender)
 	is.Equal(refused.Outcome, oriole.OutcomeNotRun)
 	is.Equal(refused.Reason, oriole.ReasonMoved)
-	for _, responses := range running {
+	for range running {
 		sender.release <- struct{}{}
+	}
+	for _, responses := range running {
 		is.Equal((<-responses).Outcome, oriole.OutcomeAnswered)
 	}
 }
