An era's assignment is an object of its own in the store

A store that is restored from an older copy gives out the revisions again that it has lost. A conditional write of an assignment could therefore succeed on a state that its writer never read, or be executed in the next era on the state that it expected: two leaders then counted the same range and fencing token as theirs.

An object without the field, as earlier builds write it, counts as the current era's. A read in an era without an assignment returns the newest of those before with revision 0. A write whose response shows another era fails with ErrRestored.

--- a/internal/oriolemessage/message_gen.go
+++ b/internal/oriolemessage/message_gen.go
@@ -5,6 +5,10 @@
 // Assignment is the assignment of a sharded service, as it is stored and sent to
 // other gateways.
 type Assignment struct {
+	// Era is the era of the store in which its object was created. It is absent in
+	// messages, and in objects that earlier builds have written.
+	Era *uint64 `json:"era,omitempty"`
+
 	// Fence is the highest fencing token that any range has had.
 	Fence uint64 `json:"fence"`
 
--- a/pkg/oriole/directory.go
+++ b/pkg/oriole/directory.go
@@ -12,6 +12,9 @@
 	// ErrHistoryGone is returned by [Feed.Watch] when the directory no longer
 	// has the changes after the version. The caller must list again.
 	ErrHistoryGone = errors.New("directory no longer has the changes after this version")
+	// ErrRestored is returned by [AssignmentStore] when the store was restored since
+	// the version that a write expected. The write had no effect on the assignment.
+	ErrRestored = errors.New("store was restored from an older copy")
 	// ErrBusy is returned when the directory refused a call. The call had no
 	// effect.
 	ErrBusy = errors.New("directory refused the call")
@@ -87,12 +90,15 @@
 
 // AssignmentStore stores the assignments of sharded services.
 type AssignmentStore interface {
-	// ReadAssignment returns the assignment and its version, or ErrNotFound. The
-	// version's era is then that of the store.
+	// ReadAssignment returns the newest stored assignment and its version, or
+	// ErrNotFound. The version's era is in both cases that of the store. Its revision
+	// is 0 if the assignment was not written in this era: it may then be older than
+	// the one in force, which was lost when the store was restored.
 	// If allowStale is set, the result may be seconds old.
 	ReadAssignment(ctx context.Context, service ServiceName, allowStale bool) (Assignment, Version, error)
 	// WriteAssignment replaces the assignment if it has the expected version;
-	// revision 0 creates it. It fails with ErrConflict if the version differs, and with
+	// revision 0 writes the first one of the expected era. It fails with ErrConflict if
+	// the version differs, with ErrRestored if the store is in another era, and with
 	// ErrBusy if the directory refused the call. After any other error the write
 	// may have taken effect, or may take effect later.
 	WriteAssignment(ctx context.Context, assignment Assignment, expected Version) (Version, error)
