One owner of each key across restores of the store

After the store had come back from an older copy, a second upstream was granted keys with the fencing token with which another held them: a leader that read its own older assignment took it for a confirmation and went back to its ranges and tokens. A leader whose record was lost was not waited for at all.

An assignment read in an era in which none was written confirms nothing. The leader in memory goes on renewing leases, moves nothing, and writes its own ranges, owners and tokens as the era's first assignment, with a term and a next token of that era.

--- a/pkg/oriole/assignment.go
+++ b/pkg/oriole/assignment.go
@@ -14,6 +14,10 @@
 // than the highest that it has seen for the range.
 type Fence uint64
 
+// UnknownLeader stands in [Assignment.PriorLeaders] for leaders whose records were
+// lost when the store was restored.
+const UnknownLeader GatewayID = "?"
+
 // Range is a contiguous range of shard keys with one owner. Both ends are
 // inclusive.
 type Range struct {
--- a/pkg/oriole/orioleassign/call.go
+++ b/pkg/oriole/orioleassign/call.go
@@ -174,7 +174,7 @@
 		if !found || m.callInFlight(callRelease, p.incarnation.ID, l.First, l.Last) || !m.mayMove(now) {
 			continue
 		}
-		repeated := p.releaseSent || m.releaseMayBePending(p.incarnation.ID, l.First, l.Last)
+		repeated := p.releaseSent || m.releaseMayBePending(p.incarnation.ID, l.First, l.Last) || now.Before(m.lateReleasesUntil)
 		p.releaseSent = true
 		st.releasing++
 		release := m.newCall(callRelease, to, *l, m.confirmedAt.Add(m.cfg.MoveLease))
@@ -368,6 +368,11 @@
 			l.nextGrant = now.Add(m.cfg.RenewInterval)
 			continue
 		}
+		if errors.Is(r.Err, oriole.ErrFenced) && l.granted && c.fence < m.firstFence {
+			// Another gateway has led whose record was lost.
+			m.awaitUnknownLeaders(now)
+			m.dirty = true
+		}
 		l.nextGrant = now.Add(callRetryDelay)
 		l.fenceUnusable = l.fenceUnusable || l.attempted || errors.Is(r.Err, oriole.ErrFenced)
 	}
--- a/pkg/oriole/orioleassign/inflight.go
+++ b/pkg/oriole/orioleassign/inflight.go
@@ -43,6 +43,9 @@
 // mayMove reports whether this leader may release ranges and use fencing tokens
 // for the first time. If it may not, it has its leadership confirmed.
 func (m *Machine) mayMove(now time.Time) bool {
+	if m.settling || m.awaitsUnknownLeaders(now) {
+		return false
+	}
 	if now.Before(m.confirmedAt.Add(m.cfg.MoveLease)) {
 		return true
 	}
--- a/pkg/oriole/orioleassign/leadership.go
+++ b/pkg/oriole/orioleassign/leadership.go
@@ -66,6 +66,7 @@
 	m.pendingWrite = nil
 	m.leases = nil
 	m.leaderGoneSince = time.Time{}
+	m.settling, m.firstFence, m.unknownLeadersUntil = false, 0, time.Time{}
 	clear(m.priorLeaders)
 	m.endCalls()
 	clear(m.upstreams)
@@ -83,7 +84,14 @@
 	clear(m.upstreams)
 	clear(m.lastGrantDone)
 	m.endCalls()
+	clear(m.unchangedPeers)
+	clear(m.stoppedPeers)
+	m.settling, m.firstFence, m.unknownLeadersUntil = false, 0, time.Time{}
 	for _, g := range a.PriorLeaders {
+		if g == oriole.UnknownLeader {
+			m.awaitUnknownLeaders(now)
+			continue
+		}
 		m.priorLeaders[g] = true
 	}
 	m.priorLeadersUntil = now
@@ -115,6 +123,7 @@
 // SetPeerMinRenewTerm handles a peer's report of the lowest term in which it
 // may still renew leases.
 func (m *Machine) SetPeerMinRenewTerm(now time.Time, peer oriole.GatewayID, minTerm uint64) {
+	m.recordPeerTerm(now, peer, minTerm)
 	if m.leading && m.priorLeaders[peer] && minTerm >= m.current.Term {
 		m.dropPriorLeaders(now, &peer)
 	}
@@ -174,7 +183,7 @@
 	if m.pendingWrite != nil || m.reading || !m.hasCurrent || !m.state.DirectoryLoaded || now.Sub(m.startedAt) < startupDelay {
 		return
 	}
-	if m.current.Leader == m.cfg.Self && m.resignedTerm != m.current.Term && !m.nextWrite.After(now) {
+	if m.current.Leader == m.cfg.Self && m.resignedTerm != m.current.Term && !m.eraUnsettled() && !m.nextWrite.After(now) {
 		// The assignment names this gateway as the leader, but it does not lead:
 		// once a read has confirmed the assignment, reconcile resumes the term.
 		m.startRead(now, false)
@@ -201,6 +210,9 @@
 // leaderGone reports whether there is no leader, or the leader has resigned, is
 // draining, is not alive or is not in the directory.
 func (m *Machine) leaderGone() bool {
+	if m.current.Leader == m.cfg.Self && m.eraUnsettled() {
+		return true
+	}
 	leader, listed := m.state.Gateways[m.current.Leader]
 	return m.current.Leader == "" || (m.current.Term > 0 && m.resignedTerm == m.current.Term) || !listed || leader.Draining || !m.state.Alive[m.current.Leader]
 }
@@ -221,7 +233,11 @@
 	}
 	// Owners may have restarted under the same IDs, and must then not get the
 	// fencing tokens that they had before.
-	next.Fence++
+	lost := m.recordsLost()
+	next.Term, next.Fence = next.Term+1, next.Fence+1
+	if lost {
+		next.Term, next.Fence = laterEra(m.current, m.version.Era)
+	}
 	for i := range next.Ranges {
 		next.Ranges[i].Fence = next.Fence
 	}
@@ -229,8 +245,10 @@
 		next.PriorLeaders = append(next.PriorLeaders, next.Leader)
 	}
 	next.PriorLeaders = slices.DeleteFunc(next.PriorLeaders, func(g oriole.GatewayID) bool { return m.gatewayEnded(g) || g == m.cfg.Self })
+	if lost && !slices.Contains(next.PriorLeaders, oriole.UnknownLeader) {
+		next.PriorLeaders = append(next.PriorLeaders, oriole.UnknownLeader)
+	}
 	next.Leader = m.cfg.Self
-	next.Term++
 	next.Seq = 1
 	m.startWrite(now, next)
 }
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -133,7 +133,37 @@
 	// be started.
 	nextConfirm time.Time
 
+	// storeEra is the newest known era of the store, and eraSince when a response
+	// first showed it. restoreObserved is set if this gateway had seen an earlier
+	// era.
+	storeEra        uint64
+	eraSince        time.Time
+	restoreObserved bool
+	// lastTick is the time of the last Tick, and stalledAt when one last came late.
+	lastTick  time.Time
+	stalledAt time.Time
+	// unlistedAt is when a gateway was last removed from the directory.
+	unlistedAt map[oriole.GatewayID]time.Time
+
 	leading bool
+	// settling is set while this leader is to write its assignment as the first
+	// one of the store's era, replacing the version settleFrom. settlingTerm is
+	// the term of the last such write.
+	settling     bool
+	settleFrom   oriole.Version
+	settlingTerm uint64
+	// firstFence is the fencing token with which this leader has settled an era,
+	// or 0.
+	firstFence oriole.Fence
+	// unchangedPeers have stated since the restore that they know of no later
+	// leader, stoppedPeers that they call no upstreams in an earlier term.
+	unchangedPeers map[oriole.GatewayID]bool
+	stoppedPeers   map[oriole.GatewayID]bool
+	// unknownLeadersUntil is the time until which upstreams may hold leases of
+	// leaders whose records were lost, and lateReleasesUntil the time until which
+	// they may execute releases of such leaders.
+	unknownLeadersUntil time.Time
+	lateReleasesUntil   time.Time
 	// confirmedAt is when the call was started by which the store last
 	// confirmed the leadership.
 	confirmedAt time.Time
@@ -229,6 +259,9 @@
 		calls:          make(map[CallID]call),
 		lastGrantDone:  make(map[oriole.ServerID]time.Time),
 		endedTermCalls: make(map[CallID]call),
+		unlistedAt:     make(map[oriole.GatewayID]time.Time),
+		unchangedPeers: make(map[oriole.GatewayID]bool),
+		stoppedPeers:   make(map[oriole.GatewayID]bool),
 		proposeMoves:   func(b *balancer) { b.balance() },
 	}
 }
@@ -257,6 +290,7 @@
 		m.upstreamsChanged = now
 		m.nextPlan = now
 	}
+	m.recordUnlisted(now, state)
 	m.state = state
 	m.maxRequestDuration = maxRequestDuration(state.Config)
 	if a := state.Assignments[m.cfg.Service]; a != nil {
@@ -310,6 +344,7 @@
 
 // Tick performs the actions that are due.
 func (m *Machine) Tick(now time.Time) {
+	m.recordStall(now)
 	m.forgetArrivedCalls(now)
 	if m.draining {
 		return
@@ -322,7 +357,9 @@
 		return
 	}
 	m.dropPriorLeaders(now, nil)
+	m.endUnknownLeaders(now)
 	m.renewLeadership(now)
+	m.settleEra(now)
 	m.sendCalls(now)
 	m.plan(now)
 }
--- a/pkg/oriole/orioleassign/plan.go
+++ b/pkg/oriole/orioleassign/plan.go
@@ -60,14 +60,17 @@
 // have to be replaced or load is uneven, or if changes have not been stored
 // yet.
 func (m *Machine) plan(now time.Time) {
-	if m.pendingWrite != nil || m.nextWrite.After(now) || !m.versionExact || !m.holdsLeadership(now) || !m.state.DirectoryLoaded {
+	if m.settling || m.pendingWrite != nil || m.nextWrite.After(now) || !m.versionExact || !m.holdsLeadership(now) || !m.state.DirectoryLoaded {
 		return
 	}
+	// A range that gets another owner or fencing token would have to wait for
+	// unknown leaders, while its present owner's lease can be renewed.
+	fixed := m.awaitsUnknownLeaders(now)
 	targets := m.targets(now, false)
-	due := !m.nextPlan.After(now)
+	due := !m.nextPlan.After(now) && !fixed
 	var b *balancer
 	refence := !m.nextRefence.After(now)
-	if due || m.needsRepair(targets, refence) {
+	if due || !fixed && m.needsRepair(targets, refence) {
 		m.load.Decay(now)
 		b = newBalancer(m.current.Ranges, targets, m.load.profile())
 		b.reassignUnowned()
@@ -95,7 +98,7 @@
 			}
 		}
 	}
-	next.PriorLeaders = m.remainingPriorLeaders()
+	next.PriorLeaders = m.remainingPriorLeaders(now)
 	next.PendingReleases = m.pendingReleases()
 	m.lastSeq++
 	next.Seq = m.lastSeq
@@ -116,9 +119,13 @@
 	return slices.ContainsFunc(m.leases, func(l lease) bool { return (refence && l.fenceUnusable) || !incarnations[l.Owner] })
 }
 
-// remainingPriorLeaders returns the prior leaders that may still renew leases.
-func (m *Machine) remainingPriorLeaders() []oriole.GatewayID {
+// remainingPriorLeaders returns the prior leaders that may still renew leases, or
+// whose leases may still run if their records were lost.
+func (m *Machine) remainingPriorLeaders(now time.Time) []oriole.GatewayID {
 	var prior []oriole.GatewayID
+	if m.awaitsUnknownLeaders(now) {
+		prior = append(prior, oriole.UnknownLeader)
+	}
 	for _, g := range m.current.PriorLeaders {
 		if m.priorLeaders[g] {
 			prior = append(prior, g)
--- a/pkg/oriole/orioleassign/store.go
+++ b/pkg/oriole/orioleassign/store.go
@@ -17,12 +17,9 @@
 	case !stale && m.storeFailingSince.IsZero():
 		m.storeFailingSince = started
 	}
+	found := !errors.Is(err, oriole.ErrNotFound)
 	switch {
-	case errors.Is(err, oriole.ErrNotFound):
-		if !stale && !m.leading && (!m.hasCurrent || m.current.Term == 0) {
-			m.setCurrent(oriole.Assignment{Service: m.cfg.Service}, version, true)
-		}
-	case err != nil:
+	case found && err != nil:
 		m.nextRead = now.Add(readRetryDelay)
 		m.nextConfirm = now.Add(confirmRetryDelay)
 		m.nextWrite = now.Add(writeRetryDelay)
@@ -30,12 +27,30 @@
 			m.resignIfCutOff(now)
 		}
 		return
+	case !m.observeEra(now, version, stale):
+		// The store was restored since.
+	case !found:
+		m.reconcileMissing(now, started, version, stale)
 	default:
 		m.reconcile(now, started, a, version, stale)
 	}
 	m.Tick(now)
 }
 
+// reconcileMissing handles a read that found no assignment.
+func (m *Machine) reconcileMissing(now, started time.Time, version oriole.Version, stale bool) {
+	switch {
+	case stale:
+	case m.leading && version.Era > m.version.Era:
+		m.reconcileRestored(now, started, oriole.Assignment{}, version)
+	case m.leading:
+	case !m.hasCurrent || m.current.Term == 0:
+		m.setCurrent(oriole.Assignment{Service: m.cfg.Service}, version, true)
+	default:
+		m.version, m.versionExact = version, true
+	}
+}
+
 // reconcile compares an assignment that was read from the store with the
 // current one.
 func (m *Machine) reconcile(now, started time.Time, a oriole.Assignment, version oriole.Version, stale bool) {
@@ -43,6 +58,16 @@
 	switch {
 	case stale && older:
 		return
+	case m.leading && version.Era > m.version.Era:
+		if !stale {
+			m.reconcileRestored(now, started, a, version)
+		}
+	case m.leading && version.Revision == 0:
+		// The read is older than the write that settled the era.
+	case !stale && older && version.Revision == 0:
+		// The store was restored from a copy that is older than what this gateway
+		// knows.
+		m.version, m.versionExact = version, true
 	case m.leading && a.Term == m.current.Term && a.Leader == m.cfg.Self:
 		if !stale {
 			m.confirmLeadership(started)
@@ -58,7 +83,7 @@
 			m.applyWrite(now, a, version)
 		}
 		m.versionExact = true
-	case !m.leading && a.Leader == m.cfg.Self && !m.draining && !stale && m.resignedTerm != a.Term:
+	case !m.leading && a.Leader == m.cfg.Self && !m.draining && !stale && version.Revision > 0 && m.resignedTerm != a.Term:
 		// Either the response to the write that claimed the leadership was
 		// lost, or this gateway has stepped down since and may have used the
 		// fencing tokens.
@@ -87,12 +112,17 @@
 	switch {
 	case err == nil && m.hasCurrent && a.Term < m.current.Term:
 		return
+	case err == nil && !m.leading && version.Era < m.storeEra:
+		// The claim was lost when the store was restored.
+		m.startRead(now, false)
 	case err == nil:
 		m.confirmLeadership(started)
 		switch {
 		case m.leading && version == m.version:
 			// A read has already shown that the write took effect.
 			m.versionExact = true
+		case m.leading && a.Term != m.current.Term:
+			m.eraSettled(now, a, version)
 		case m.leading:
 			m.applyWrite(now, a, version)
 		default:
@@ -105,6 +135,8 @@
 		m.nextWrite = now.Add(writeRetryDelay)
 		// A read shows whether the store refuses all calls.
 		m.startRead(now, false)
+	case errors.Is(err, oriole.ErrRestored):
+		m.startRead(now, false)
 	default:
 		// The write may have taken effect, or another gateway has written: read
 		// the result back.
