--- a/pkg/oriole/orioleassign/restore_test.go
+++ b/pkg/oriole/orioleassign/restore_test.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -367,13 +368,19 @@
 func TestClaimAfterRestoreWaitsForLostLeaders(t *testing.T) {
 	for _, test := range []struct {
 		name    string
+		reports bool
+		runs    time.Duration
 		stopped bool
-	}{{"leaders out of reach", false}, {"all report that they stopped", true}} {
+	}{
+		{"leaders out of reach", false, simConfig.LeaderLease, false},
+		{"all report that they stopped", true, simConfig.LeaderLease, true},
+		{"all report, to a gateway that may not know all", true, time.Second, false},
+	} {
 		t.Run(test.name, func(t *testing.T) {
 			x := newRestored(t)
 			known := x.old.current.Clone()
 			x.new.receive(known)
-			x.new.startedAt = x.now.Add(-simConfig.LeaderLease)
+			x.new.startedAt = x.now.Add(-test.runs)
 			x.new.resignedTerm = known.Term
 			x.read(x.new, x.older, x.unsettled)
 			learned := x.now
@@ -389,8 +396,10 @@
 			x.True(x.new.Leading())
 
 			until := x.new.leaseExpiry(learned.Add(simConfig.LeaderLease))
-			if test.stopped {
+			if test.reports {
 				x.peers(x.new, w.Assignment.Term)
+			}
+			if test.stopped {
 				until = x.new.leaseExpiry(x.now)
 			}
 			for x.now.Before(until) {
@@ -468,3 +477,48 @@
 	release := x.move()
 	x.True(x.old.calls[release.ID].repeated)
 }
+
+// TestPausedLeaderDoesNotRelyOnStatements checks that a leader which was suspended
+// before it found that the store was restored does not settle the era as if none had
+// replaced it: one that did may be gone, unseen.
+func TestPausedLeaderDoesNotRelyOnStatements(t *testing.T) {
+	x := newRestored(t)
+	x.now = x.now.Add(10 * time.Second)
+	x.read(x.old, x.older, x.unsettled)
+	x.wait(x.old, statementDelay)
+	x.peers(x.old, x.old.current.Term)
+	x.wait(x.old, statementTimeout)
+	x.Equal(x.write(x.old).Assignment.PriorLeaders, []oriole.GatewayID{oriole.UnknownLeader})
+}
+
+// TestOwnersStayWhileUnknownLeadersAreAwaited checks that a range keeps an owner
+// whose lease can be renewed, although it drains: its next owner would have to wait.
+func TestOwnersStayWhileUnknownLeadersAreAwaited(t *testing.T) {
+	x := newRestored(t)
+	settled := x.settle(false)
+	owner := settled.Ranges[0].Owner
+	state := *x.old.state
+	state.Upstreams = maps.Clone(state.Upstreams)
+	u := state.Upstreams[owner.ID]
+	u.Draining = true
+	state.Upstreams[owner.ID] = u
+	x.old.SetClusterState(x.now, &state)
+	x.now = x.now.Add(planInterval)
+	x.old.leases[0].nextGrant = x.now
+	x.old.Tick(x.now)
+	_, writes, grants, _ := x.effects(x.old)
+	x.Equal(writes, 0)
+	x.True(slices.ContainsFunc(grants, func(g *LeaseCall) bool { return g.To.ID == owner.ID }))
+}
+
+// TestRestartedLeaderDoesNotResumeOlderTerm checks that a gateway which has lost its
+// state does not resume the term of its own older assignment.
+func TestRestartedLeaderDoesNotResumeOlderTerm(t *testing.T) {
+	x := newRestored(t)
+	m := New(x.old.cfg)
+	x.read(m, x.older, x.unsettled)
+	x.True(!m.Leading())
+	m = New(x.old.cfg)
+	x.read(m, x.older, oriole.Version{Era: x.unsettled.Era, Revision: 7})
+	x.True(m.Leading())
+}
