Another gateway stands in for a watcher that is cut off from the directory

Cause: the store turned half of the gateways away, among them the watcher. The gateways that reached it read the evacuation for themselves 1.2 s later; the others had nobody to learn it from and went on sending.

Change: if nothing is relayed for 1.5 s, the best ranked gateway that the directory responds to relays in the watcher's place, beginning with a list, as the others may have missed changes. It goes on until its relays stop; the elected watcher relies on it as soon as it receives them.

--- a/internal/oriolerouter/oriolestate/follow.go
+++ b/internal/oriolerouter/oriolestate/follow.go
@@ -10,7 +10,6 @@
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
 	"github.com/orioleswitch/orioleswitch/internal/oriolerouter/oriolelog"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
-	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleplacement"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolering"
 )
 
@@ -46,10 +45,6 @@
 	relayRingSize = 64
 )
 
-// watcherSubject is the rendezvous hashing subject by which gateways elect the
-// watcher: the gateway that watches the directory on behalf of all.
-const watcherSubject = "directory"
-
 // followDuty follows one feed of the directory. The watcher watches the feed
 // and relays changes to its peers; other gateways call the directory only while
 // they receive no updates from the watcher.
@@ -78,6 +73,9 @@
 	// failing is set while the last call to the directory has failed.
 	failing bool
 	backoff time.Duration
+	// standingIn is set while this gateway stands in for the watcher and has
+	// relayed a list since.
+	standingIn bool
 }
 
 func (d *followDuty[T]) String() string { return "follow " + d.kind }
@@ -89,18 +87,28 @@
 		d.awaitAnnounced(ctx)
 	}
 	for ctx.Err() == nil {
-		switch {
-		case !d.listed:
-			d.list(ctx)
-		case d.tracker.isWatcher():
-			d.watch(ctx)
-		default:
-			d.awaitRelayed(ctx)
-		}
+		d.follow(ctx)
 	}
 	return ctx.Err()
 }
 
+// follow makes one call to the directory, or waits for one update from the watcher.
+func (d *followDuty[T]) follow(ctx context.Context) {
+	role := d.tracker.watcherRole()
+	startsToStandIn := role == standsIn && !d.standingIn
+	d.standingIn = role == standsIn
+	switch {
+	case !d.listed, startsToStandIn:
+		// Gateways that don't reach the directory may have missed changes that the
+		// others have read for themselves.
+		d.list(ctx)
+	case role == relies:
+		d.awaitRelayed(ctx)
+	default:
+		d.watch(ctx)
+	}
+}
+
 func (d *followDuty[T]) awaitAnnounced(ctx context.Context) {
 	timer := time.NewTimer(announceTimeout)
 	defer timer.Stop()
@@ -224,13 +232,6 @@
 	return true
 }
 
-// isWatcher reports whether this gateway watches the directory for all
-// gateways.
-func (t *Tracker) isWatcher() bool {
-	ranked := orioleplacement.RankLeaders(watcherSubject, t.Snapshot().LiveMembers())
-	return len(ranked) == 0 || ranked[0] == t.cfg.Self.ID
-}
-
 func (t *Tracker) enqueue(ctx context.Context, u update) {
 	// Put fails only when the gateway shuts down.
 	_ = t.updates.Put(ctx, u)
--- a/internal/oriolerouter/oriolestate/tracker.go
+++ b/internal/oriolerouter/oriolestate/tracker.go
@@ -70,9 +70,14 @@
 	// lastResponse is when the directory last responded to this gateway, in Unix
 	// nanoseconds.
 	lastResponse atomic.Int64
+	// lastRelay is when a peer last relayed an update, in Unix nanoseconds.
+	lastRelay atomic.Int64
 
 	mu          sync.Mutex
 	subscribers []chan struct{}
+	// peerResponses holds when the directory last responded to each peer, as far as
+	// this gateway knows.
+	peerResponses map[oriole.GatewayID]time.Time
 }
 
 // snapshot is a published state with a channel that is closed when a newer one
@@ -144,7 +149,11 @@
 		cfg:        cfg,
 		updates:    oriolering.New[update](updateRingSize),
 		relayed:    make(map[string]*oriolering.Ring[*oriolemessage.Feed]),
+
+		peerResponses: make(map[oriole.GatewayID]time.Time),
 	}
+	// The watcher has until then to relay its first update.
+	t.RecordRelay()
 	state := oriole.NewClusterState()
 	state.Gateways[cfg.Self.ID] = cfg.Self
 	state.Alive[cfg.Self.ID] = true
@@ -238,6 +247,7 @@
 // ring is full the update is dropped, and the follow duty fetches its changes
 // from the directory.
 func (t *Tracker) HandleDirectoryUpdate(feed *oriolemessage.Feed) {
+	t.RecordRelay()
 	if ring := t.relayed[feed.Kind]; ring != nil {
 		ring.Offer(feed)
 	}
