--- a/internal/oriolesite/load.go
+++ b/internal/oriolesite/load.go
@@ -150,8 +150,17 @@
 		r.Method, r.Path = http.MethodPost, fmt.Sprintf("/sign/%d", n)
 	case 2:
 		r.Method, r.Path = http.MethodPost, fmt.Sprintf("/book/%d", n)
+	case 3:
+		if route := l.site.addedRoute(); route != "" {
+			r.Path = fmt.Sprintf("/%s/%d", route, n)
+		}
+	}
+	vm, sent := l.vms[n%len(l.vms)], time.Now()
+	gateway := l.site.Gateway(vm)
+	res := l.site.Call(vm, r)
+	if violation := l.site.checkRouting(gateway, r.Path, sent, res); violation != "" {
+		l.addViolation("%s at %s", violation, vm)
 	}
-	res := l.site.Call(l.vms[n%len(l.vms)], r)
 	if res.Reason != "" {
 		l.mu.Lock()
 		l.reasons[res.Reason]++
--- a/internal/oriolesite/site.go
+++ b/internal/oriolesite/site.go
@@ -61,6 +61,10 @@
 	upstreams         map[string]*standin.Upstream
 	cleanups          []func()
 	version           oriole.ConfigVersion
+	// published holds the configurations that were written, in order, and seen when
+	// each gateway was first seen to use one.
+	published []publishedConfig
+	seen      map[*Gateway][]seenConfig
 }
 
 // Gateway is a running gateway.
@@ -93,6 +97,7 @@
 	s = &Site{
 		Store: standin.NewStore(), Checker: standin.NewChecker(), cfg: cfg,
 		gateways: make(map[string]*Gateway), storeUnresponsive: make(map[string]bool), upstreams: make(map[string]*standin.Upstream),
+		seen: make(map[*Gateway][]seenConfig),
 	}
 	cleanup = s.stop
 	if err := s.start(); err != nil {
@@ -157,17 +162,31 @@
 // Configure writes a configuration that routes lookups and signing requests to one
 // service, and bookings to another.
 func (s *Site) Configure(lookups, bookings string) error {
-	return s.configure(lookups, bookings, "")
+	return s.configure(Configuration(0, lookups, bookings))
 }
 
 // ConfigureWithoutRoute writes the initial configuration without the route.
 func (s *Site) ConfigureWithoutRoute(route string) error {
-	return s.configure(ShardedService, UnshardedService, route)
+	cfg := Configuration(0, ShardedService, UnshardedService)
+	cfg.Routes = slices.DeleteFunc(cfg.Routes, func(r oriole.Route) bool { return r.Name == route })
+	return s.configure(cfg)
 }
 
-func (s *Site) configure(lookups, bookings, omitted string) (err error) {
+// ConfigureAddedRoute writes the last configuration with one more route, which sends
+// idempotent requests to the service.
+func (s *Site) ConfigureAddedRoute(name, service string) error {
+	s.mu.Lock()
+	cfg := *s.published[len(s.published)-1].cfg
+	s.mu.Unlock()
+	cfg.Routes = append(slices.Clone(cfg.Routes), newRoute(name, service, true))
+	return s.configure(&cfg)
+}
+
+// configure writes a configuration with the next version number.
+func (s *Site) configure(cfg *oriole.Config) (err error) {
 	defer func() { err = errors.Wrap(err, "configuring the site") }()
 	s.version++
+	cfg.Version = s.version
 	operator, cleanup := platform.New(s.storeAddr, func(string, string, error) {})
 	defer cleanup()
 	var storeVersion oriole.Version
@@ -176,20 +195,25 @@
 			return err
 		}
 	}
-	cfg := Configuration(s.version, lookups, bookings)
-	cfg.Routes = slices.DeleteFunc(cfg.Routes, func(r oriole.Route) bool { return r.Name == omitted })
-	return operator.WriteConfig(context.Background(), cfg, storeVersion)
+	s.mu.Lock()
+	n := len(s.published)
+	s.published = append(s.published, publishedConfig{cfg: cfg})
+	s.mu.Unlock()
+	if err := operator.WriteConfig(context.Background(), cfg, storeVersion); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.published[n].confirmedAt = time.Now()
+	return nil
 }
 
+// initialRoutes is the number of routes that Configuration returns.
+const initialRoutes = 3
+
 // Configuration returns a configuration that routes lookups and signing requests to
 // one service, and bookings to another.
 func Configuration(version oriole.ConfigVersion, lookups, bookings string) *oriole.Config {
-	route := func(name, service string, idempotent bool) oriole.Route {
-		return oriole.Route{
-			Name: name, Host: Host, Prefix: "/" + name + "/", Idempotent: idempotent, LatencyTarget: 300 * time.Millisecond,
-			Timeout: callerDeadline, MaxAttempts: 2, Shares: []oriole.Share{{Service: oriole.ServiceName(service), Weight: 1}},
-		}
-	}
 	service := func(name string, sharded bool) oriole.Service {
 		return oriole.Service{
 			Name: oriole.ServiceName(name), MaxConns: 45, ColdDuration: 100 * time.Millisecond, ColdRate: 50, Sharded: sharded, HealthPath: "/healthz",
@@ -198,13 +222,21 @@
 	return &oriole.Config{
 		Version: version,
 		Limits:  oriole.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
-		Routes:  []oriole.Route{route("look", lookups, true), route("sign", lookups, false), route("book", bookings, false)},
+		Routes:  []oriole.Route{newRoute("look", lookups, true), newRoute("sign", lookups, false), newRoute("book", bookings, false)},
 		Services: map[oriole.ServiceName]oriole.Service{
 			ShardedService: service(ShardedService, true), UnshardedService: service(UnshardedService, false),
 		},
 	}
 }
 
+// newRoute returns a route for paths that start with its name.
+func newRoute(name, service string, idempotent bool) oriole.Route {
+	return oriole.Route{
+		Name: name, Host: Host, Prefix: "/" + name + "/", Idempotent: idempotent, LatencyTarget: 300 * time.Millisecond,
+		Timeout: callerDeadline, MaxAttempts: 2, Shares: []oriole.Share{{Service: oriole.ServiceName(service), Weight: 1}},
+	}
+}
+
 // StartUpstream starts an upstream that listens on the address, or on any loopback
 // port if the address is not valid.
 func (s *Site) StartUpstream(id, service string, addr netip.AddrPort, options ...standin.Option) (u *standin.Upstream, err error) {
