Each soak ends with a configuration change and a departure that are checked

The checks that gateways follow a change of the configuration and leave a draining upstream alone apply only while no unplanned fault is in effect, which is seldom so among random faults. A gateway that stops following the store was seen at the end only if it couldn't serve.

When the effects of all faults are over, the soak now makes both changes once more, with the same checks.

--- a/internal/oriolesoak/soak.go
+++ b/internal/oriolesoak/soak.go
@@ -4,6 +4,7 @@
 package oriolesoak
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -87,6 +88,9 @@
 	stop := h.startBackground(cfg, l)
 	err = h.injectFaults(ctx, cfg)
 	h.checkRecovery()
+	if err == nil {
+		err = h.checkChanges()
+	}
 	stop()
 	// A request that was reported as not executed must not run later either, and may
 	// be held up until its deadline.
@@ -197,6 +201,15 @@
 	}
 }
 
+// checkChanges changes the configuration and drains an upstream once the effects of
+// all faults are over, and checks that the gateways follow both.
+func (h *harness) checkChanges() error {
+	time.Sleep(settleTime)
+	drained := make(chan error, 1)
+	go func() { drained <- drainUpstream(h) }()
+	return cmp.Or(changeConfig(h), <-drained)
+}
+
 // awaitAllServed waits until every gateway serves every service. On timeout it
 // returns the VM and path of a request that was not served.
 func (h *harness) awaitAllServed(timeout time.Duration) (unserved string) {
