The load requests all added routes by turns

It requested the last one only, so that after two additions nothing was sent to the service of the first.

--- a/internal/oriolesite/load.go
+++ b/internal/oriolesite/load.go
@@ -114,6 +114,8 @@
 	keyStride     = 7919
 	callerOffset  = 1000
 	shardKeyCount = 1 << 16
+	// requestKinds is the number of kinds of requests, which are sent by turns.
+	requestKinds = 4
 )
 
 // StartLoad sends requests of all kinds to the VMs until stop is called, which
@@ -145,13 +147,13 @@
 
 func (l *loadGenerator) sendRequest(n int) {
 	r := Request{Method: http.MethodGet, Path: fmt.Sprintf("/look/%d", n), ShardKey: n * keyStride % shardKeyCount}
-	switch n % 4 {
+	switch n % requestKinds {
 	case 1:
 		r.Method, r.Path = http.MethodPost, fmt.Sprintf("/sign/%d", n)
 	case 2:
 		r.Method, r.Path = http.MethodPost, fmt.Sprintf("/book/%d", n)
 	case 3:
-		if route := l.site.addedRoute(); route != "" {
+		if route := l.site.addedRoute(n); route != "" {
 			r.Path = fmt.Sprintf("/%s/%d", route, n)
 		}
 	}
--- a/internal/oriolesite/routing.go
+++ b/internal/oriolesite/routing.go
@@ -85,14 +85,15 @@
 		res.ID, path, service, res.Status, s.published[oldest].cfg.Version, reason, s.published[oldest].routeOf(path))
 }
 
-// addedRoute returns the name of the route that was added last, or an empty string if
-// there is none.
-func (s *Site) addedRoute() string {
+// addedRoute returns the name of one of the routes that were added, chosen by the
+// request's number, or an empty string if there is none.
+func (s *Site) addedRoute(n int) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	routes := s.published[len(s.published)-1].cfg.Routes
 	if len(routes) <= initialRoutes {
 		return ""
 	}
-	return routes[len(routes)-1].Name
+	added := routes[initialRoutes:]
+	return added[n/requestKinds%len(added)].Name
 }
