A soak opens fewer descriptors: proxies on the links of 15 gateways only

A soak of 100 gateways ran out of descriptors: each link between two gateways goes through a proxy in the soak's process, which takes two. The soft limit is no help, the Go runtime raises it to the hard limit at start.

--- a/internal/oriolesoak/faults.go
+++ b/internal/oriolesoak/faults.go
@@ -52,7 +52,8 @@
 		return injectGatewayNetworkFault(h, "store of ", h.randomVM(), func(v *vm) *proxy { return v.storeProxy })
 	}},
 	{"peer network fault", false, func(h *harness) error {
-		return injectGatewayNetworkFault(h, "links to ", h.randomVM(), func(v *vm) *proxy { return v.peerProxy })
+		proxied := h.vms[:min(len(h.vms), maxPeerProxies)]
+		return injectGatewayNetworkFault(h, "links to ", h.randomVMOf(proxied), func(v *vm) *proxy { return v.peerProxy })
 	}},
 	{"upstream network fault", false, injectUpstreamNetworkFault},
 }
--- a/internal/oriolesoak/harness.go
+++ b/internal/oriolesoak/harness.go
@@ -125,6 +125,10 @@
 	return 0.16
 }
 
+// maxPeerProxies bounds the number of VMs whose links from other gateways go through a
+// proxy, which takes two descriptors of this process for each link.
+const maxPeerProxies = 15
+
 // newHarness starts the store, the upstreams and the gateways.
 func newHarness(cfg Config, dir runDir) (h *harness, cleanup func(), err error) {
 	defer func() { err = errors.Wrap(err, "starting the test harness") }()
@@ -174,7 +178,7 @@
 		}
 	}
 	for i := range cfg.Gateways {
-		v, cleanup, err := h.runDir.newVM(fmt.Sprintf("vm-%d", i), zones[i%len(zones)], vmWeight(i/len(zones)), addr)
+		v, cleanup, err := h.runDir.newVM(fmt.Sprintf("vm-%d", i), zones[i%len(zones)], vmWeight(i/len(zones)), addr, i < maxPeerProxies)
 		if err != nil {
 			return err
 		}
@@ -289,10 +293,12 @@
 	delete(h.upstreams, u.id)
 }
 
-func (h *harness) randomVM() *vm {
+func (h *harness) randomVM() *vm { return h.randomVMOf(h.vms) }
+
+func (h *harness) randomVMOf(vms []*vm) *vm {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.vms[h.rng.IntN(len(h.vms))]
+	return vms[h.rng.IntN(len(vms))]
 }
 
 // randomDuration returns a random duration that is at least lower and below upper.
--- a/internal/oriolesoak/process.go
+++ b/internal/oriolesoak/process.go
@@ -32,7 +32,7 @@
 	callerAddr    netip.AddrPort
 	readinessAddr netip.AddrPort
 	// storeProxy is the proxy between the gateway and the store, and peerProxy the
-	// one between other gateways and this one.
+	// one between other gateways and this one, or nil.
 	storeProxy *proxy
 	peerProxy  *proxy
 
@@ -65,24 +65,29 @@
 }
 
 // newVM writes the settings of a VM, and returns the VM with a function that kills
-// its process and closes its proxies.
-func (d runDir) newVM(name, zone string, weight float64, store netip.AddrPort) (v *vm, cleanup func(), err error) {
+// its process and closes its proxies. Other gateways reach it through a proxy if
+// proxyPeers is set.
+func (d runDir) newVM(name, zone string, weight float64, store netip.AddrPort, proxyPeers bool) (v *vm, cleanup func(), err error) {
 	defer func() { err = errors.Wrapf(err, "creating %s", name) }()
 	addrs, err := oriolesite.FreeAddrs(4)
 	if err != nil {
 		return nil, nil, err
 	}
 	v = &vm{name: name, zone: zone, callerAddr: addrs[0], readinessAddr: addrs[1]}
-	var closeStore, closePeers func()
+	reachAddr, closePeers := addrs[2], func() {}
+	var closeStore func()
 	if v.storeProxy, closeStore, err = newProxy(); err != nil {
 		return nil, nil, err
 	}
-	if v.peerProxy, closePeers, err = newProxy(); err != nil {
-		closeStore()
-		return nil, nil, err
-	}
 	v.storeProxy.setTarget(store)
-	v.peerProxy.setTarget(addrs[2])
+	if proxyPeers {
+		if v.peerProxy, closePeers, err = newProxy(); err != nil {
+			closeStore()
+			return nil, nil, err
+		}
+		v.peerProxy.setTarget(addrs[2])
+		reachAddr = v.peerProxy.addr
+	}
 	data, err := json.Marshal(struct {
 		VM      string         `json:"vm"`
 		Zone    string         `json:"zone"`
@@ -95,7 +100,7 @@
 		Weight  float64        `json:"weight"`
 		Memory  int            `json:"memory"`
 		Grace   string         `json:"grace"`
-	}{name, zone, v.callerAddr, v.readinessAddr, addrs[2], v.peerProxy.addr, addrs[3], v.storeProxy.addr, weight, memoryLimitMB, gracePeriod.String()})
+	}{name, zone, v.callerAddr, v.readinessAddr, addrs[2], reachAddr, addrs[3], v.storeProxy.addr, weight, memoryLimitMB, gracePeriod.String()})
 	if err != nil {
 		return nil, nil, err
 	}
