Soaks restore the store from an older copy

The soak keeps a copy of the store each second, the last nine. The fault "store restored" takes the store down for 0.2 to 3 s, and restores it from one of them. The checks are those of all faults: owners, fencing tokens, runs, responses, recovery, and the change and the departure at the end.

The fault is drawn from random numbers of its own.

--- a/internal/oriolesoak/faults.go
+++ b/internal/oriolesoak/faults.go
@@ -58,6 +58,24 @@
 	{"upstream network fault", false, injectUpstreamNetworkFault},
 }
 
+// storeRestored is drawn as often as one of faults.
+var storeRestored = fault{"store restored", false, restoreStore}
+
+// restoreStore takes the store down for a moment, and restores it from one of the kept
+// copies.
+func restoreStore(h *harness) error {
+	h.mu.Lock()
+	b := h.backups[h.rng.IntN(len(h.backups))]
+	h.mu.Unlock()
+	h.log("store down, to be restored from a copy %v old", time.Since(b.takenAt).Round(time.Millisecond))
+	h.store.SetDown(true)
+	time.Sleep(h.randomDuration(200*time.Millisecond, 3*time.Second))
+	h.store.Restore(b.content)
+	h.store.SetDown(false)
+	h.log("store restored")
+	return nil
+}
+
 // stopGateway shuts a gateway down with SIGTERM, and restarts it.
 func stopGateway(h *harness) error {
 	v := h.randomVM()
--- a/internal/oriolesoak/harness.go
+++ b/internal/oriolesoak/harness.go
@@ -47,6 +47,8 @@
 	resumedAt time.Time
 	// stoppedAt holds the time of the last SIGTERM by VM.
 	stoppedAt map[string]time.Time
+	// backups holds the last copies of the store, the oldest first.
+	backups []backup
 	// addedUpstreams counts the upstreams added so far, for their IDs and zones.
 	addedUpstreams int
 }
@@ -61,6 +63,24 @@
 	kill              func()
 }
 
+// backup is a copy of the store.
+type backup struct {
+	content *standin.Copy
+	takenAt time.Time
+}
+
+// backupCount is the number of copies that are kept: a restored store is some seconds
+// old.
+const backupCount = 9
+
+// keepBackup takes a copy of the store, and drops the oldest if there are too many.
+func (h *harness) keepBackup() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.backups = append(h.backups, backup{h.store.Snapshot(), time.Now()})
+	h.backups = h.backups[max(0, len(h.backups)-backupCount):]
+}
+
 // settleTime is how long the effects of a fault may last after its end. It is the
 // users' window after which a machine counts as reachable again.
 const settleTime = 3 * time.Second
--- a/internal/oriolesoak/soak.go
+++ b/internal/oriolesoak/soak.go
@@ -59,8 +59,9 @@
 	// maxFaultGap bounds the time between the starts of two faults. Faults overlap
 	// often, as most last for seconds.
 	maxFaultGap = 3 * time.Second
-	// memorySampleInterval is how often the memory of the gateways is sampled.
-	memorySampleInterval = time.Second
+	// sampleInterval is how often the memory of the gateways is sampled, and a copy of
+	// the store is kept.
+	sampleInterval = time.Second
 )
 
 // Run runs one soak.
@@ -84,6 +85,7 @@
 	if err := h.awaitStartup(); err != nil {
 		return report, err
 	}
+	h.keepBackup()
 	l := &loadGenerator{harness: h, balancer: &balancer{harness: h, failedChecks: make(map[string]int)}}
 	stop := h.startBackground(cfg, l)
 	err = h.injectFaults(ctx, cfg)
@@ -99,7 +101,7 @@
 	return h.report(cfg, l), err
 }
 
-// startBackground starts the callers, the load balancer and the sampling of memory;
+// startBackground starts the callers, the load balancer and the regular samples;
 // stop stops them and waits for their end.
 func (h *harness) startBackground(cfg Config, l *loadGenerator) (stop func()) {
 	done := make(chan struct{})
@@ -120,11 +122,12 @@
 			select {
 			case <-done:
 				return
-			case <-time.After(memorySampleInterval):
+			case <-time.After(sampleInterval):
 			}
 			for _, v := range h.vms {
 				v.samplePeakMemory()
 			}
+			h.keepBackup()
 		}
 	})
 	return func() {
@@ -138,13 +141,18 @@
 // different names overlap, except that only one at a time stops and restarts the
 // gateway of a VM.
 func (h *harness) injectFaults(ctx context.Context, cfg Config) error {
-	rng := rand.New(rand.NewPCG(cfg.Seed, 3))
+	rng, restores := rand.New(rand.NewPCG(cfg.Seed, 3)), rand.New(rand.NewPCG(cfg.Seed, 4))
 	var running sync.WaitGroup
 	failures := make(chan error, len(faults))
 	active := make(map[string]bool)
 	var mu sync.Mutex
 	for end := time.Now().Add(cfg.Duration); time.Now().Before(end) && ctx.Err() == nil; {
 		f := faults[rng.IntN(len(faults))]
+		// Drawn from numbers of its own, so that the seeds of earlier failures still draw
+		// the same other faults.
+		if restores.IntN(len(faults)) == 0 {
+			f = storeRestored
+		}
 		gap := time.Duration(rng.Int64N(int64(maxFaultGap)))
 		mu.Lock()
 		alreadyActive := active[f.name]
