Scenarios that restore the store from an older copy

Callers and upstreams would see: after the platform's store has come back from a copy some seconds old, keys with two owners, fencing tokens given out a second time, requests at upstreams that have left, and routes of a confirmed configuration answered 404.

Each scenario takes a copy; then the configuration changes twice, an upstream joins, one drains and leaves, and ranges move; the store is down for 0.5 s and returns from the copy. 3 s later the configuration changes again and another upstream leaves.

- store-restored: no more than that.
- store-restored-overtaken: in the moment of the return an upstream leaves, the configuration changes and 16 upstreams join, so that the revision soon exceeds the one that the gateways saw last: a watch from there gets no 410, and misses what has an earlier revision.
- store-restored-restart: a gateway restarts after the copy, so that its entry in the restored store is that of its previous run.

--- a/internal/oriolesite/scenario.go
+++ b/internal/oriolesite/scenario.go
@@ -1,6 +1,7 @@
 package oriolesite
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"time"
@@ -45,6 +46,9 @@
 		}, 0.98},
 		{"store-lost", dropStoreResponses, 0.98},
 		{"restart-all", restartGateways, 0.3},
+		{"store-restored", func(s *Site) error { return restoreStore(s, doNothing, doNothing) }, 0.9},
+		{"store-restored-overtaken", func(s *Site) error { return restoreStore(s, doNothing, overtakeRevisions) }, 0.9},
+		{"store-restored-restart", func(s *Site) error { return restoreStore(s, restartGateway, doNothing) }, 0.9},
 	}
 }
 
@@ -137,3 +141,89 @@
 	time.Sleep(2 * time.Second)
 	return nil
 }
+
+const (
+	// handoverTime is how long the ranges of an upstream that drains take to move.
+	handoverTime = time.Second
+	// restoreOutage is how long the store is down before it is restored.
+	restoreOutage = 500 * time.Millisecond
+	// stableWindow is the time after a fault of the store from which the users' bounds
+	// hold again.
+	stableWindow = 3 * time.Second
+	// overtakingUpstreams exceeds the number of the gateways' writes that are lost.
+	overtakingUpstreams = 16
+)
+
+// restoreStore restores the store from a copy that is older than a change of the
+// configuration, an upstream that has left, one that has joined and the ranges that
+// moved with them; then it makes such changes again. It calls before when the copy was
+// taken, and returned when the store has just returned.
+func restoreStore(s *Site, before, returned func(*Site) error) error {
+	backup := s.Store.Snapshot()
+	if err := before(s); err != nil {
+		return err
+	}
+	if err := s.Configure(ShardedService, ShardedService); err != nil {
+		return err
+	}
+	if _, err := s.StartUpstream("board-8", ShardedService, netip.AddrPort{}, standin.WithSharding()); err != nil {
+		return err
+	}
+	if err := s.drainAndLeave("board-0"); err != nil {
+		return err
+	}
+	if err := s.ConfigureAddedRoute("pay", UnshardedService); err != nil {
+		return err
+	}
+	time.Sleep(configTimeout)
+	s.Store.SetDown(true)
+	time.Sleep(restoreOutage)
+	s.Store.Restore(backup)
+	s.Store.SetDown(false)
+	if err := returned(s); err != nil {
+		return err
+	}
+	time.Sleep(stableWindow)
+	if err := s.ConfigureAddedRoute("refund", ShardedService); err != nil {
+		return err
+	}
+	if err := s.drainAndLeave("board-1"); err != nil {
+		return err
+	}
+	time.Sleep(configTimeout + time.Second)
+	return nil
+}
+
+func doNothing(*Site) error { return nil }
+
+// overtakeRevisions lets an upstream leave, changes the configuration, and adds as many
+// upstreams as it takes for the store's revision to exceed what the gateways saw before
+// it was restored.
+func overtakeRevisions(s *Site) error {
+	if err := s.Upstreams()["tow-0"].Leave(); err != nil {
+		return err
+	}
+	if err := s.ConfigureAddedRoute("fee", UnshardedService); err != nil {
+		return err
+	}
+	for i := range overtakingUpstreams {
+		if _, err := s.StartUpstream(fmt.Sprintf("tow-%d", 10+i), UnshardedService, netip.AddrPort{}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// restartGateway restarts a gateway, so that its entry is newer than the copy.
+func restartGateway(s *Site) error {
+	s.Gateway("vm-c").Stop()
+	return s.StartGateway("vm-c")
+}
+
+// drainAndLeave drains an upstream, and lets it leave once its ranges have moved.
+func (s *Site) drainAndLeave(id string) error {
+	u := s.Upstreams()[id]
+	u.Drain()
+	time.Sleep(handoverTime)
+	return u.Leave()
+}
