Senders read Server-Leaving from every response head

Upstreams that leave say so in all their responses. The header went on to the caller and the gateway took no notice of it.

The sender reads it as soon as a head has arrived, so that a response which is refused, belongs to an earlier request, is cut off or is cancelled between head and body counts too, and names the incarnation in its result.

TestDrainIsReadFromEveryHead (truncated body) and TestDrainIsReadOfCancelledRequest fail if the head is read only with the body.

--- a/internal/orioleupstream/client.go
+++ b/internal/orioleupstream/client.go
@@ -57,6 +57,9 @@
 type Call struct {
 	To      oriole.Upstream
 	Request *http.Request
+	// Head is called with the status and header of each response as soon as they
+	// have been read, also if it does not match or is cut off later. It may be nil.
+	Head func(*http.Response)
 	// MatchesRequest reports whether a response belongs to the request.
 	MatchesRequest func(*http.Response) bool
 	// Unnamed reports whether a response that matches bears no ID. The call fails
--- a/internal/orioleupstream/conn.go
+++ b/internal/orioleupstream/conn.go
@@ -259,6 +259,9 @@
 			return nil, false, err
 		}
 		c.head.remaining = -1
+		if call.Head != nil {
+			call.Head(resp)
+		}
 		body, err := readBody(resp)
 		if err != nil {
 			return nil, false, err
--- /dev/null
+++ b/internal/orioleupstream/leaving_test.go
@@ -0,0 +1,63 @@
+package orioleupstream_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+)
+
+// leaving adds the field by which an upstream states that it leaves.
+func leaving(response string) string {
+	return strings.Replace(response, "\r\n", "\r\nServer-Leaving: 1\r\n", 1)
+}
+
+// TestDrainIsReadFromEveryHead guards against missing that an upstream leaves because
+// its response is refused, belongs to another request or is cut off.
+func TestDrainIsReadFromEveryHead(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		respond func(id string) string
+		leaving bool
+	}{
+		{"answered", func(id string) string { return leaving(okResponse(id)) }, true},
+		{"not leaving", okResponse, false},
+		{"of another request", func(id string) string { return leaving(okResponse("old")) + okResponse(id) }, true},
+		{"not run", func(id string) string {
+			return leaving("HTTP/1.1 503 No\r\nX-Attempt-Id: " + id + "\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		}, true},
+		{"client error", func(id string) string {
+			return leaving("HTTP/1.1 404 No\r\nX-Attempt-Id: " + id + "\r\nContent-Length: 0\r\n\r\n")
+		}, true},
+		{"truncated body", func(id string) string { return leaving(strings.Replace(okResponse(id), "5", "50", 1)) + "Unframed" }, true},
+		{"head cut off", func(id string) string { return "HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\nUnframed" }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			to := newUpstream(t, func(_ int, id string) string { return test.respond(id) })
+			to.ID, to.StartedAt = "u", time.UnixMilli(5)
+			want := oriole.Incarnation{}
+			if test.leaving {
+				want = to.Incarnation()
+			}
+			is.Equal(newSender(t).Send(context.Background(), to, request("1")).Leaving, want)
+		})
+	}
+}
+
+// TestDrainIsReadOfCancelledRequest guards against losing the statement with a request
+// that is cancelled between head and body.
+func TestDrainIsReadOfCancelledRequest(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	to := newUpstream(t, func(_ int, id string) string { return leaving(strings.Replace(okResponse(id), "5", "50", 1)) })
+	time.AfterFunc(200*time.Millisecond, cancel)
+	resp := newSender(t).Send(ctx, to, request("1"))
+	is.Equal(resp.Outcome, oriole.OutcomeUnknown)
+	is.Equal(resp.Reason, oriole.ReasonCancelled)
+	is.Equal(resp.Leaving, to.Incarnation())
+}
--- a/internal/orioleupstream/sender.go
+++ b/internal/orioleupstream/sender.go
@@ -36,23 +36,30 @@
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	var info oriole.ResponseInfo
+	leaving, ignoredFields := oriole.Incarnation{}, 0
 	resp, err := s.client.Do(ctx, Call{
 		To:        to,
 		RequestID: r.ID,
 		Request:   newRequest(r, s.dialect.ToUpstream(to, r, remaining)),
-		MatchesRequest: func(resp *http.Response) bool {
+		Head: func(resp *http.Response) {
 			info = s.dialect.FromUpstream(resp.StatusCode, resp.Header, r)
-			return info.MatchesRequest
+			ignoredFields += info.IgnoredFields
+			if info.Leaving {
+				leaving = to.Incarnation()
+			}
 		},
-		Unnamed:     func() bool { return info.Unnamed },
-		NewConn:     r.ID == "",
-		MayRepeat:   func() bool { return info.Outcome != oriole.OutcomeAnswered },
-		IdleTimeout: func(http.Header) time.Duration { return info.IdleTimeout },
+		MatchesRequest: func(*http.Response) bool { return info.MatchesRequest },
+		Unnamed:        func() bool { return info.Unnamed },
+		NewConn:        r.ID == "",
+		MayRepeat:      func() bool { return info.Outcome != oriole.OutcomeAnswered },
+		IdleTimeout:    func(http.Header) time.Duration { return info.IdleTimeout },
 	})
 	if err != nil {
-		return errorResponse(ctx, to, err)
+		response := errorResponse(ctx, to, err)
+		response.Leaving, response.IgnoredFields = leaving, ignoredFields
+		return response
 	}
-	response := oriole.Response{Outcome: info.Outcome, Reason: info.Reason, Server: to.ID}
+	response := oriole.Response{Outcome: info.Outcome, Reason: info.Reason, Server: to.ID, Leaving: leaving, IgnoredFields: ignoredFields}
 	if info.Outcome == oriole.OutcomeAnswered {
 		response.Status, response.Header, response.Body = resp.Status, resp.Header, resp.Body
 	}
--- a/pkg/oriole/directory.go
+++ b/pkg/oriole/directory.go
@@ -179,4 +179,9 @@
 	// IdleTimeout is how long the upstream keeps an idle connection open, or 0 if
 	// the header does not say.
 	IdleTimeout time.Duration
+	// Leaving is set if the upstream states that it leaves. That holds for the
+	// upstream whichever request the response belongs to.
+	Leaving bool
+	// IgnoredFields is the number of fields that could not be read and are ignored.
+	IgnoredFields int
 }
--- a/pkg/oriole/request.go
+++ b/pkg/oriole/request.go
@@ -119,6 +119,13 @@
 	Body    []byte
 	// Server is the upstream that the request was last sent to, or empty.
 	Server ServerID
+	// Leaving is the upstream that has stated in a response to this request, or to
+	// an earlier one on its connection, that it leaves, or the zero Incarnation. It
+	// is set whatever the outcome.
+	Leaving Incarnation
+	// IgnoredFields is the number of fields of the upstream's header that could not
+	// be read and are ignored.
+	IgnoredFields int
 	// RetryAfter is the time after which a caller may retry a request that has
 	// not run, or 0 if unknown.
 	RetryAfter time.Duration
