An upstream that states that it leaves gets no more requests

The dispatcher takes the incarnation out of its pools before it passes the response on, and refuses what was queued for it as not run; what waits for a sender goes back too. The state duty counts the incarnation as draining for good, also if the store lists it only later or again, and remembers it across a restart of the duty. Peers and the leader are told, and the leader is reminded once a second while it still assigns keys to the upstream. On the link of a forwarded request the report is a frame of its own before the response: the decoder rejects messages with unknown fields, so a new field in the response would cost gateways of an earlier build the response.

--- a/internal/oriolemessage/codec_test.go
+++ b/internal/oriolemessage/codec_test.go
@@ -111,6 +111,17 @@
 	is.Equal(gotResp, resp)
 }
 
+// TestDrainSurvivesEncoding guards against naming another upstream, or another start
+// of it, to peers.
+func TestDrainSurvivesEncoding(t *testing.T) {
+	is := is.New(t)
+	want := oriole.Incarnation{ID: "u", StartedAt: time.UnixMilli(1234)}
+	got, err := roundTrip(t, oriolemessage.Frame{Departure: oriolemessage.FromDeparture(want)}).Departure.ToDeparture()
+	is.NoErr(err)
+	is.Equal(got, want)
+	is.True(errors.Is(errOf((&oriolemessage.Departure{}).ToDeparture()), oriolemessage.ErrMalformed))
+}
+
 func TestAssignmentAndPatchSurviveEncoding(t *testing.T) {
 	is := is.New(t)
 	a := assignment()
--- a/internal/oriolemessage/message_gen.go
+++ b/internal/oriolemessage/message_gen.go
@@ -91,6 +91,13 @@
 	Fingerprint uint64 `json:"print"`
 }
 
+// Departure reports that an incarnation of an upstream has stated in a response
+// that it leaves. On the link of a request it precedes the response that said so.
+type Departure struct {
+	// Incarnation corresponds to the JSON schema field "life".
+	Incarnation Incarnation `json:"life"`
+}
+
 // Entry is one entry of the directory, or its removal. Config, Upstream or Gateway
 // is set according to the kind of the feed; a zone has only a name.
 type Entry struct {
@@ -164,6 +171,9 @@
 	// Hello corresponds to the JSON schema field "hello".
 	Hello *Hello `json:"hello,omitempty"`
 
+	// Departure corresponds to the JSON schema field "leaving".
+	Departure *Departure `json:"leaving,omitempty"`
+
 	// Load corresponds to the JSON schema field "load".
 	Load *Load `json:"load,omitempty"`
 
--- a/internal/oriolemessage/patch.go
+++ b/internal/oriolemessage/patch.go
@@ -82,6 +82,20 @@
 	return oriole.ServiceName(s.Service), toIncarnation(s.Incarnation)
 }
 
+// FromDeparture returns a report that the incarnation of an upstream leaves.
+func FromDeparture(incarnation oriole.Incarnation) *Departure {
+	return &Departure{Incarnation: fromIncarnation(incarnation)}
+}
+
+// ToDeparture returns the incarnation that leaves. It fails if the message names no
+// upstream.
+func (d *Departure) ToDeparture() (incarnation oriole.Incarnation, err error) {
+	if d.Incarnation.Id == "" {
+		return incarnation, errors.Wrap(ErrMalformed, "departure: no upstream")
+	}
+	return toIncarnation(d.Incarnation), nil
+}
+
 // FromCrashRecord returns the crash record of a request with the fingerprint that
 // was running when the incarnation of an upstream ended.
 func FromCrashRecord(fingerprint uint64, incarnation oriole.Incarnation) *CrashRecord {
--- a/internal/oriolerouter/orioledispatcher/crash.go
+++ b/internal/oriolerouter/orioledispatcher/crash.go
@@ -16,6 +16,8 @@
 func (d *poolDuty) trackCrashes(now time.Time, req *pendingRequest, response oriole.Response) {
 	switch {
 	case req == nil:
+	case response.Reason == oriole.ReasonMoved:
+		// It was not sent.
 	case response.Outcome == oriole.OutcomeUnknown && response.Reason == oriole.ReasonConnection:
 		d.crashes.ConnectionLost(now, req.incarnation, req.fingerprint)
 	case response.Outcome == oriole.OutcomeNotRun && response.Reason == oriole.ReasonConnection:
--- a/internal/oriolerouter/orioledispatcher/dispatcher.go
+++ b/internal/oriolerouter/orioledispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolecrash"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioledeparture"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolepool"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolering"
 )
@@ -57,6 +58,9 @@
 	// ReportUnreachable reports that an upstream of a sharded service accepted no
 	// connection.
 	ReportUnreachable func(service oriole.ServiceName, incarnation oriole.Incarnation)
+	// ReportLeaving records that an upstream has stated that it leaves. It is called
+	// before the response that said so is passed on.
+	ReportLeaving func(ctx context.Context, incarnation oriole.Incarnation)
 	// CloseIdleConns is called when the cluster state changes, to close idle
 	// connections to incarnations for which keep returns false: the directory no
 	// longer lists them.
@@ -125,7 +129,7 @@
 		events:     oriolering.New[event](ringSize),
 		sendJobs:   oriolering.New[sendJob](ringSize),
 	}
-	disp.Add(&poolDuty{dispatcher: disp})
+	disp.Add(&poolDuty{dispatcher: disp, departures: orioledeparture.New()})
 	for range senders {
 		disp.Add(&sendDuty{disp})
 	}
@@ -175,6 +179,13 @@
 	return nil
 }
 
+// leaves reports whether the upstream has begun to leave since the request was
+// taken from its queue.
+func (disp *Dispatcher) leaves(u oriole.Upstream) bool {
+	known, listed := disp.cfg.State.Snapshot().Upstreams[u.ID]
+	return listed && known.Incarnation() == u.Incarnation() && known.Draining
+}
+
 // sendDuty sends one request at a time.
 type sendDuty struct{ dispatcher *Dispatcher }
 
@@ -188,6 +199,12 @@
 		if err != nil {
 			return err
 		}
+		if disp.leaves(s.To) {
+			if err := disp.events.Put(ctx, event{result: &result{s.pool, s.Job, oriole.NotRunResponse(oriole.ReasonMoved)}}); err != nil {
+				return err
+			}
+			continue
+		}
 		sendCtx, cancel := context.WithCancel(ctx)
 		stop := func() bool { return true }
 		if s.Request.Idempotent {
--- a/internal/oriolerouter/orioledispatcher/duty.go
+++ b/internal/oriolerouter/orioledispatcher/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -9,6 +10,7 @@
 	"github.com/orioleswitch/orioleswitch/internal/oriolerouter/oriolelog"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolecrash"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioledeparture"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleidempotency"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleplacement"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolepool"
@@ -24,6 +26,9 @@
 	// requests that wait for the response to an earlier one with the same key.
 	idempotency *orioleidempotency.Cache
 	duplicates  map[orioleidempotency.JobID]*pendingRequest
+	// departures holds the upstreams that have stated in a response that they leave.
+	// The cluster state shows them a little later. A restart keeps it.
+	departures *orioledeparture.Record
 }
 
 // poolState is a pool and its requests.
@@ -80,6 +85,7 @@
 	case e.crash != nil:
 		d.crashes.RecordCrash(now, e.crash.fingerprint, e.crash.incarnation)
 	case e.result != nil:
+		d.noteHeader(ctx, now, e.result.response)
 		if p := d.pools[e.result.pool]; p != nil {
 			d.trackCrashes(now, p.jobs[e.result.job], e.result.response)
 			p.pool.Finish(now, e.result.job, e.result.response)
@@ -159,7 +165,28 @@
 	if state.Config != nil {
 		service = state.Config.Services[id.Service]
 	}
-	p.pool.Update(now, service, poolUpstreams(state, id))
+	upstreams := slices.DeleteFunc(poolUpstreams(state, id), func(u oriole.Upstream) bool { return d.departures.Leaves(u.Incarnation()) })
+	p.pool.Update(now, service, upstreams)
+}
+
+// noteHeader acts on what an upstream's response header says of the upstream.
+func (d *poolDuty) noteHeader(ctx context.Context, now time.Time, response oriole.Response) {
+	metrics := d.dispatcher.cfg.Metrics
+	if response.IgnoredFields > 0 {
+		metrics.Add("pool_fields_ignored", int64(response.IgnoredFields))
+	}
+	if response.Leaving == (oriole.Incarnation{}) {
+		return
+	}
+	metrics.Add("pool_leaving", 1)
+	if !d.departures.Add(response.Leaving) {
+		return
+	}
+	d.dispatcher.cfg.ReportLeaving(ctx, response.Leaving)
+	for id, p := range d.pools {
+		d.updatePool(now, id, p)
+		d.execute(ctx, id, p)
+	}
 }
 
 // poolUpstreams returns the usable upstreams of the pool.
--- /dev/null
+++ b/internal/oriolerouter/orioledispatcher/duty_test.go
@@ -0,0 +1,172 @@
+package orioledispatcher
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/matryer/is"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolecrash"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolepool"
+)
+
+// fixedState is a cluster state that does not change: that of a gateway which reaches
+// neither the store nor a leader.
+type fixedState struct{ state *oriole.ClusterState }
+
+func (s fixedState) Snapshot() *oriole.ClusterState { return s.state }
+
+func (s fixedState) Subscribe() <-chan struct{} { return nil }
+
+// stoppedClock shows the same time always and never ticks.
+type stoppedClock struct{}
+
+func (stoppedClock) Now() time.Time { return time.Unix(1000, 0) }
+
+func (stoppedClock) Subscribe(time.Duration) (<-chan time.Time, func()) { return nil, func() {} }
+
+// heldSender passes on what it is to send, and waits for the response.
+type heldSender struct {
+	sent      chan oriole.Upstream
+	responses chan oriole.Response
+}
+
+func (s heldSender) Send(_ context.Context, to oriole.Upstream, _ oriole.Request) oriole.Response {
+	s.sent <- to
+	return <-s.responses
+}
+
+// harness is a dispatcher and what it does.
+type harness struct {
+	*Dispatcher
+	heldSender
+	replies chan oriole.Response
+	left    chan oriole.Incarnation
+}
+
+func newHarness(t *testing.T, upstreams ...oriole.Upstream) *harness {
+	t.Helper()
+	state := oriole.NewClusterState()
+	state.Config = &oriole.Config{Services: map[oriole.ServiceName]oriole.Service{"s": {Name: "s", Sharded: true}, "t": {Name: "t"}}}
+	for _, u := range upstreams {
+		state.Upstreams[u.ID] = u
+	}
+	h := &harness{
+		heldSender: heldSender{make(chan oriole.Upstream, 64), make(chan oriole.Response, 64)},
+		replies:    make(chan oriole.Response, 64), left: make(chan oriole.Incarnation, 64),
+	}
+	h.Dispatcher = New(Config{
+		State: fixedState{state}, Sender: h.heldSender, Timers: stoppedClock{}, Metrics: orioletelemetry.NewMetrics(),
+		Log:               &log.Logger{Handler: discard.New()},
+		ReportDurations:   func(oriole.ServiceName, map[oriole.ServerID]time.Duration) {},
+		ReportCrash:       func(oriolecrash.Fingerprint, oriole.Incarnation) {},
+		ReportUnreachable: func(oriole.ServiceName, oriole.Incarnation) {},
+		ReportLeaving:     func(_ context.Context, incarnation oriole.Incarnation) { h.left <- incarnation },
+		CloseIdleConns:    func(func(oriole.Incarnation) bool) {},
+	}, suture.Spec{EventHook: func(suture.Event) {}})
+	return h
+}
+
+// start runs the duties until the test ends.
+func (h *harness) start(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := h.ServeBackground(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+func (h *harness) do(pool oriole.PoolID) {
+	h.Do(context.Background(), oriole.Request{Service: pool.Service, Pool: pool, Deadline: stoppedClock{}.Now().Add(time.Minute)}, func(resp oriole.Response) {
+		h.replies <- resp
+	})
+}
+
+func upstream(id string, service oriole.ServiceName) oriole.Upstream {
+	return oriole.Upstream{ID: oriole.ServerID(id), Service: service, Zone: "z", Slots: 2, StartedAt: time.UnixMilli(1)}
+}
+
+// TestDrainRefusesFromResponseOn guards against sending requests, queued ones among
+// them, to an upstream that has stated that it leaves, while the store lists it as
+// ready.
+func TestDrainRefusesFromResponseOn(t *testing.T) {
+	is := is.New(t)
+	u := upstream("u", "s")
+	pool := oriole.PoolID{Service: "s", Zone: "z", Server: "u"}
+	h := newHarness(t, u)
+	h.start(t)
+	for range 4 {
+		h.do(pool)
+	}
+	<-h.sent
+	<-h.sent
+	answered := oriole.Response{Outcome: oriole.OutcomeAnswered, Status: 200, Leaving: u.Incarnation()}
+	h.responses <- answered
+	refused := 0
+	for range 3 {
+		resp := <-h.replies
+		if resp.Outcome == oriole.OutcomeAnswered {
+			is.Equal(len(h.left), 1) // reported before it is passed on
+			continue
+		}
+		refused++
+		is.Equal(resp.Outcome, oriole.OutcomeNotRun)
+		is.Equal(resp.Reason, oriole.ReasonNoOwner)
+		is.True(resp.RetryAfter > 0)
+	}
+	is.Equal(refused, 2)
+	h.do(pool)
+	is.Equal((<-h.replies).Outcome, oriole.OutcomeNotRun)
+	h.responses <- answered // the request that ran meanwhile
+	is.Equal((<-h.replies).Outcome, oriole.OutcomeAnswered)
+	is.Equal(<-h.left, u.Incarnation())
+	is.Equal(len(h.left), 0) // a repeated statement is no news
+	is.Equal(len(h.sent), 0)
+}
+
+// TestDrainLeavesOthersInUse guards against refusing requests that another upstream of
+// the pool can run.
+func TestDrainLeavesOthersInUse(t *testing.T) {
+	is := is.New(t)
+	u, v := upstream("u", "t"), upstream("v", "t")
+	pool := oriole.PoolID{Service: "t", Zone: "z"}
+	h := newHarness(t, u, v)
+	h.start(t)
+	h.do(pool)
+	first := <-h.sent
+	h.responses <- oriole.Response{Outcome: oriole.OutcomeNotRun, Reason: oriole.ReasonShed, Leaving: first.Incarnation()}
+	is.Equal((<-h.replies).Outcome, oriole.OutcomeNotRun)
+	for range 8 {
+		h.do(pool)
+		is.True((<-h.sent).ID != first.ID)
+		h.responses <- oriole.Response{Outcome: oriole.OutcomeAnswered, Status: 200}
+		is.Equal((<-h.replies).Outcome, oriole.OutcomeAnswered)
+	}
+}
+
+// TestDrainRefusesWhatWaitsForSender guards against sending a request that was taken
+// from its queue before the upstream's statement arrived.
+func TestDrainRefusesWhatWaitsForSender(t *testing.T) {
+	is := is.New(t)
+	u := upstream("u", "s")
+	listed := u
+	listed.Draining = true
+	h := newHarness(t, listed)
+	h.responses <- oriole.Response{Outcome: oriole.OutcomeAnswered}
+	is.True(h.sendJobs.Offer(sendJob{
+		pending: &pendingRequest{ctx: context.Background()}, Start: oriolepool.Start{Job: 1, To: u},
+	}))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = (&sendDuty{h.Dispatcher}).Serve(ctx) }()
+	e := <-h.events.Out()
+	is.Equal(e.result.response, oriole.NotRunResponse(oriole.ReasonMoved))
+	is.Equal(len(h.sent), 0)
+}
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -282,6 +282,9 @@
 		l.stopServing(forwarded.Number)
 		var parts []*oriolemessage.Frame
 		parts, resp.Body = splitBody(forwarded.Number, resp.Body)
+		if resp.Leaving != (oriole.Incarnation{}) {
+			parts = append(parts, &oriolemessage.Frame{Departure: oriolemessage.FromDeparture(resp.Leaving)})
+		}
 		if !l.offerAll(parts, &oriolemessage.Frame{Response: oriolemessage.FromResponse(forwarded.Number, forwarded.Id, resp)}) {
 			p.cfg.Metrics.Add("link_ring_full", 1)
 		}
--- a/internal/oriolerouter/oriolelink/links_test.go
+++ b/internal/oriolerouter/oriolelink/links_test.go
@@ -35,7 +35,7 @@
 }
 
 func (r frameReceiver) HandleFrame(_ context.Context, _ oriole.GatewayID, frame *oriolemessage.Frame) {
-	if frame.Suspect != nil {
+	if frame.Suspect != nil || frame.Departure != nil {
 		r.frames <- frame
 	}
 }
--- a/internal/oriolerouter/oriolelog/message.go
+++ b/internal/oriolerouter/oriolelog/message.go
@@ -42,9 +42,12 @@
 	MessageConfigApplied = "configuration in force"
 	// MessageUpstreamChanged reports a new or changed upstream. Of the first list
 	// only the number of upstreams is logged, as MessageUpstreamsListed.
-	MessageUpstreamChanged   = "upstream"
-	MessageUpstreamsListed   = "upstreams listed"
-	MessageUpstreamGone      = "upstream gone"
+	MessageUpstreamChanged = "upstream"
+	MessageUpstreamsListed = "upstreams listed"
+	MessageUpstreamGone    = "upstream gone"
+	// MessageUpstreamLeaving says that an upstream has stated in a response that it
+	// leaves: to this gateway, or to the peer.
+	MessageUpstreamLeaving   = "upstream leaving"
 	MessageZoneChanged       = "zone"
 	MessageDirectoryLost     = "directory lost"
 	MessageDirectoryRegained = "directory regained"
--- a/internal/oriolerouter/oriolestate/tracker.go
+++ b/internal/oriolerouter/oriolestate/tracker.go
@@ -14,6 +14,7 @@
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioledeparture"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolering"
 )
 
@@ -52,6 +53,10 @@
 	Announced <-chan struct{}
 	// ApplyOverlay applies this gateway's overlay to a published configuration.
 	ApplyOverlay func(*oriole.Config) *oriole.Config
+	// BroadcastLeaving tells all peers that an upstream leaves, and TellLeaving one
+	// gateway. They must not block.
+	BroadcastLeaving func(oriole.Incarnation)
+	TellLeaving      func(oriole.GatewayID, oriole.Incarnation)
 	// RequestAssignment requests the full assignment of a service from the given
 	// gateway, its leader.
 	RequestAssignment func(oriole.ServiceName, oriole.GatewayID)
@@ -110,6 +115,12 @@
 	// directory lists.
 	left map[oriole.ServerID]leftUpstream
 	held map[oriole.ServerID]oriole.Upstream
+	// departures holds the upstreams that have stated that they leave, leaving
+	// those of them that are listed. remindedAt is when their leaders were last
+	// reminded.
+	departures *orioledeparture.Record
+	leaving    map[oriole.Incarnation]bool
+	remindedAt time.Time
 	// unlistedZones and unlistedGateways hold the evacuated zones and the gateways
 	// that the directory's last list lacks and that are not dropped yet.
 	unlistedZones    map[oriole.ZoneName]bool
@@ -126,6 +137,8 @@
 		restoredAt: make(map[string]time.Time),
 		left:       make(map[oriole.ServerID]leftUpstream),
 		held:       make(map[oriole.ServerID]oriole.Upstream),
+		departures: orioledeparture.New(),
+		leaving:    make(map[oriole.Incarnation]bool),
 
 		unlistedZones:    make(map[oriole.ZoneName]bool),
 		unlistedGateways: make(map[oriole.GatewayID]bool),
@@ -133,8 +146,8 @@
 }
 
 // sweepNeeded reports whether a sweep may change anything.
-func (b *bookkeeping) sweepNeeded() bool {
-	return len(b.missing)+len(b.departedAt)+len(b.held)+len(b.unlistedZones)+len(b.unlistedGateways) > 0
+func (b *bookkeeping) sweepNeeded(now time.Time) bool {
+	return b.reminderDue(now) || len(b.missing)+len(b.departedAt)+len(b.held)+len(b.unlistedZones)+len(b.unlistedGateways) > 0
 }
 
 // New returns the subtree.
@@ -254,6 +267,12 @@
 	_ = t.updates.Put(ctx, peerUpdate{m})
 }
 
+// MarkLeaving queues the report that an upstream has stated that it leaves, which
+// this gateway has from the upstream itself or from the peer.
+func (t *Tracker) MarkLeaving(ctx context.Context, incarnation oriole.Incarnation, peer oriole.GatewayID) {
+	_ = t.updates.Put(ctx, leavingUpdate{incarnation, peer})
+}
+
 // stateDuty owns the state: it applies updates and publishes the result. All
 // queued updates are applied before the state is published once.
 type stateDuty struct {
@@ -279,7 +298,7 @@
 		select {
 		case next = <-t.updates.Out():
 		case <-ticks:
-			if !b.sweepNeeded() {
+			if !b.sweepNeeded(t.cfg.Timers.Now()) {
 				continue
 			}
 			next = sweepUpdate{}
--- a/internal/oriolerouter/oriolestate/tracker_test.go
+++ b/internal/oriolerouter/oriolestate/tracker_test.go
@@ -35,6 +35,8 @@
 		Log:               &log.Logger{Handler: discard.New()},
 		BroadcastUpdate:   func(*oriolemessage.Feed) {},
 		RequestAnnounce:   func() {},
+		BroadcastLeaving:  func(oriole.Incarnation) {},
+		TellLeaving:       func(oriole.GatewayID, oriole.Incarnation) {},
 		RequestAssignment: func(oriole.ServiceName, oriole.GatewayID) {},
 		ApplyOverlay:      func(cfg *oriole.Config) *oriole.Config { return cfg },
 	}, suture.Spec{})
--- a/internal/oriolerouter/oriolestate/update.go
+++ b/internal/oriolerouter/oriolestate/update.go
@@ -101,6 +101,7 @@
 		u.Draining = u.Draining || left.draining
 		delete(b.left, u.ID)
 	}
+	b.markLeaving(&u)
 	changed := !known || old.Incarnation() != u.Incarnation() || old.Draining != u.Draining || old.Addr != u.Addr
 	if changed && b.listed["upstreams"] {
 		b.cfg.Log.WithFields(log.Fields{
@@ -116,6 +117,7 @@
 func (b *bookkeeping) markDeparted(state *oriole.ClusterState, u oriole.Upstream) {
 	state.EditDeparted()[u.Incarnation()] = u
 	b.departedAt[u.Incarnation()] = b.now
+	delete(b.leaving, u.Incarnation())
 	b.recordLeft(u)
 }
 
@@ -140,6 +142,7 @@
 		}
 	}
 	b.sweepRestored(state)
+	b.remindLeaders(state)
 	state.DirectoryLoaded = b.listed["upstreams"] && b.listed["outs"] && b.listed["gateways"]
 }
 
--- a/internal/oriolerouter/receiver.go
+++ b/internal/oriolerouter/receiver.go
@@ -67,6 +67,13 @@
 	case frame.Suspect != nil:
 		service, incarnation := frame.Suspect.ToSuspect()
 		r.leader.ReportUnreachable(ctx, service, incarnation)
+	case frame.Departure != nil:
+		incarnation, err := frame.Departure.ToDeparture()
+		if err != nil {
+			r.links.RejectFrame(from, frame.Kind(), err)
+			return
+		}
+		r.tracker.MarkLeaving(ctx, incarnation, from)
 	case frame.Feed != nil:
 		r.tracker.HandleDirectoryUpdate(frame.Feed)
 		r.leader.PeerReachedStore(ctx, 0)
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -159,6 +159,7 @@
 	r.tracker = oriolestate.New(oriolestate.Config{
 		Self: r.self, Directory: r.platform.Directory, Timers: r.timers, Log: r.log, BroadcastUpdate: r.broadcastUpdate, RequestAssignment: r.requestAssignment,
 		ApplyOverlay: r.applyOverlay, Announced: r.announced, RequestAnnounce: r.requestAnnounce,
+		BroadcastLeaving: r.broadcastLeaving, TellLeaving: r.tellLeaving,
 	}, spec)
 	r.links = oriolelink.New(oriolelink.Config{
 		Self: r.self, Metrics: r.metrics, Timers: r.timers, Log: r.log, Clock: r.clock, Secret: r.settings.Secret,
@@ -166,7 +167,7 @@
 	r.links.SetReceiver(receiver{r})
 	r.dispatcher = orioledispatcher.New(orioledispatcher.Config{
 		State: r.tracker, Sender: r.platform.Sender, Timers: r.timers, Metrics: r.metrics, Log: r.log, CloseIdleConns: r.platform.CloseIdleConns,
-		ReportCrash: r.reportCrash, ReportUnreachable: r.reportUnreachable,
+		ReportCrash: r.reportCrash, ReportUnreachable: r.reportUnreachable, ReportLeaving: r.markLeaving,
 		ReportDurations: func(service oriole.ServiceName, durations map[oriole.ServerID]time.Duration) {
 			r.reportLoad(service, nil, durations)
 		},
@@ -277,6 +278,21 @@
 	}
 }
 
+// markLeaving records that an upstream has stated to this gateway that it leaves.
+func (r *Router) markLeaving(ctx context.Context, incarnation oriole.Incarnation) {
+	r.tracker.MarkLeaving(ctx, incarnation, "")
+}
+
+// broadcastLeaving tells all peers that an upstream leaves, and tellLeaving one
+// gateway.
+func (r *Router) broadcastLeaving(incarnation oriole.Incarnation) {
+	r.links.Broadcast(&oriolemessage.Frame{Departure: oriolemessage.FromDeparture(incarnation)})
+}
+
+func (r *Router) tellLeaving(to oriole.GatewayID, incarnation oriole.Incarnation) {
+	r.links.Send(to, &oriolemessage.Frame{Departure: oriolemessage.FromDeparture(incarnation)})
+}
+
 // requestAssignment asks the leader of a service for the full assignment.
 func (r *Router) requestAssignment(service oriole.ServiceName, leader oriole.GatewayID) {
 	r.links.Send(leader, &oriolemessage.Frame{AssignmentRequest: &oriolemessage.AssignmentRequest{Service: string(service)}})
--- a/internal/orioletrace/trace.go
+++ b/internal/orioletrace/trace.go
@@ -227,7 +227,7 @@
 	return cause + describeEvents(related, func(message string) bool {
 		return slices.Contains([]string{
 			oriolelog.MessageLeaderElected, oriolelog.MessageStepDown, oriolelog.MessageUpstreamDown, oriolelog.MessageUpstreamEnded,
-			oriolelog.MessageDirectoryLost, oriolelog.MessageUpstreamGone,
+			oriolelog.MessageDirectoryLost, oriolelog.MessageUpstreamGone, oriolelog.MessageUpstreamLeaving,
 		}, message)
 	})
 }
