A key whose owner leaves is refused at once if no leader can move it

Callers waited 0.2 s for the move of a key whose owner takes no requests, also when the leader that would move it was not alive. They are refused at once now, as not run and with Retry-After; with a leader alive the move is awaited as before.

TestDrainWithoutLeaderIsRefusedAtOnce failed before (the state was watched 4 times instead of once) and passes now.

--- a/internal/oriolerouter/orioleingress/forwarder.go
+++ b/internal/oriolerouter/orioleingress/forwarder.go
@@ -291,7 +291,7 @@
 		if reason == oriole.ReasonNone {
 			return pool, f.dispatcherFor(state, pool), reason
 		}
-		if reason != oriole.ReasonNoOwner {
+		if reason != oriole.ReasonNoOwner || f.withoutLeader(state, r) {
 			return pool, "", reason
 		}
 		select {
@@ -330,6 +330,21 @@
 	return orioleplacement.PoolOf(u, true), oriole.ReasonNone
 }
 
+// withoutLeader reports whether the owner of the request's key is there but takes no
+// requests, and no leader is alive to move the key.
+func (f *Forwarder) withoutLeader(state *oriole.ClusterState, r oriole.Request) bool {
+	a := state.Assignments[r.Service]
+	if a == nil || !r.HasShardKey || state.Alive[a.Leader] {
+		return false
+	}
+	keyRange := a.Find(r.ShardKey)
+	if keyRange == nil || !keyRange.Grantable() {
+		return false
+	}
+	u, listed := state.Upstreams[keyRange.Owner.ID]
+	return listed && u.Incarnation() == keyRange.Owner && !state.Usable(u)
+}
+
 // dispatcherFor returns the highest ranked dispatcher of the pool that is
 // reachable, or this gateway if none is.
 func (f *Forwarder) dispatcherFor(state *oriole.ClusterState, pool oriole.PoolID) oriole.GatewayID {
--- a/internal/oriolerouter/orioleingress/forwarder_test.go
+++ b/internal/oriolerouter/orioleingress/forwarder_test.go
@@ -26,6 +26,27 @@
 	return s.state, make(chan struct{})
 }
 
+// unrelatedChanges is the number of states that a changingStateSource replaces.
+const unrelatedChanges = 2
+
+// changingStateSource returns the same cluster state again and again, and has replaced
+// it already when it is first watched.
+type changingStateSource struct {
+	state   *oriole.ClusterState
+	watches int
+}
+
+func (s *changingStateSource) Snapshot() *oriole.ClusterState { return s.state }
+
+func (s *changingStateSource) Watch() (*oriole.ClusterState, <-chan struct{}) {
+	s.watches++
+	replaced := make(chan struct{})
+	if s.watches <= 1+unrelatedChanges {
+		close(replaced)
+	}
+	return s.state, replaced
+}
+
 // scriptedDispatcher returns its responses in order, and then repeats the last.
 type scriptedDispatcher struct {
 	responses []oriole.Response
@@ -118,6 +139,37 @@
 	is.True(resp.RetryAfter > 0)
 }
 
+// TestDrainWithoutLeaderIsRefusedAtOnce guards against sending a request to an upstream
+// that leaves because the assignment still names it, and against letting its caller
+// wait for a move that no leader can make.
+func TestDrainWithoutLeaderIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	dispatcher := &scriptedDispatcher{responses: []oriole.Response{{Outcome: oriole.OutcomeAnswered, Status: 200}}}
+	forwarder := newForwarder(dispatcher)
+	state := oriole.NewClusterState()
+	state.Config = &oriole.Config{Services: map[oriole.ServiceName]oriole.Service{"s": {Name: "s", Sharded: true}}}
+	u := oriole.Upstream{ID: "u", Service: "s", Zone: "z", Slots: 2, StartedAt: time.UnixMilli(1), Draining: true}
+	state.Upstreams["u"] = u
+	state.Assignments["s"] = &oriole.Assignment{Service: "s", Leader: "vm.2", Ranges: []oriole.Range{{Last: oriole.MaxShardKey, Owner: u.Incarnation()}}}
+	source := &changingStateSource{state: state}
+	forwarder.cfg.State = source
+	r := oriole.Request{Service: "s", HasShardKey: true, Deadline: time.Now().Add(time.Minute)}
+	is.True(forwarder.withoutLeader(state, r))
+	resp := forwarder.Do(context.Background(), r, 2)
+	is.Equal(resp.Outcome, oriole.OutcomeNotRun)
+	is.Equal(resp.Reason, oriole.ReasonNoOwner)
+	is.True(resp.RetryAfter > 0)
+	is.Equal(dispatcher.attempts, 0)
+	is.Equal(source.watches, 1)
+
+	state.Alive["vm.2"] = true
+	is.True(!forwarder.withoutLeader(state, r)) // the leader moves the key
+	resp = forwarder.Do(context.Background(), r, 2)
+	is.Equal(resp.Outcome, oriole.OutcomeNotRun)
+	is.Equal(dispatcher.attempts, 0)
+	is.Equal(source.watches, 2+unrelatedChanges)
+}
+
 // Requests must stay in their zone unless the wait there exceeds the penalty for
 // another zone, and must stay there again once the reported wait has decayed.
 func TestPoolInSameZoneIsPreferred(t *testing.T) {
