Senders read how long an upstream wants to be left alone

An upstream that turns a request away with 503 may add Retry-After. The gateway took no notice of it.

The sender reads it from every head, as it reads Server-Leaving.

--- a/internal/orioleupstream/leaving_test.go
+++ b/internal/orioleupstream/leaving_test.go
@@ -61,3 +61,34 @@
 	is.Equal(resp.Reason, oriole.ReasonCancelled)
 	is.Equal(resp.Leaving, to.Incarnation())
 }
+
+// TestBudgetIsReadFromEveryHead guards against missing a pause because the response that
+// asks for it belongs to another request or is cut off, or because another one follows.
+func TestBudgetIsReadFromEveryHead(t *testing.T) {
+	refusal := func(id, seconds string) string {
+		return "HTTP/1.1 503 No\r\nX-Attempt-Id: " + id + "\r\nX-Not-Executed: 1\r\nRetry-After: " + seconds + "\r\nContent-Length: 2\r\n\r\nno"
+	}
+	for _, test := range []struct {
+		name    string
+		respond func(id string) string
+		outcome oriole.Outcome
+	}{
+		{"turned away", func(id string) string { return refusal(id, "3") }, oriole.OutcomeNotRun},
+		{"without a promise", func(id string) string {
+			return strings.Replace(refusal(id, "3"), "X-Not-Executed: 1\r\n", "", 1)
+		}, oriole.OutcomeAnswered},
+		{"of another request", func(id string) string { return refusal("old", "3") + okResponse(id) }, oriole.OutcomeAnswered},
+		{"shorter one last", func(id string) string { return refusal("old", "3") + refusal(id, "1") }, oriole.OutcomeNotRun},
+		{"cut off", func(id string) string {
+			return strings.Replace(refusal(id, "3"), "Length: 2", "Length: 50", 1) + "Unframed"
+		}, oriole.OutcomeUnknown},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			to := newUpstream(t, func(_ int, id string) string { return test.respond(id) })
+			resp := newSender(t).Send(context.Background(), to, request("1"))
+			is.Equal(resp.Outcome, test.outcome)
+			is.Equal(resp.Pause, 3*time.Second)
+		})
+	}
+}
--- a/internal/orioleupstream/sender.go
+++ b/internal/orioleupstream/sender.go
@@ -36,16 +36,18 @@
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	var info oriole.ResponseInfo
-	leaving, ignoredFields := oriole.Incarnation{}, 0
+	// Each response, also to an earlier request, may state something of the upstream.
+	var stated oriole.Response
 	resp, err := s.client.Do(ctx, Call{
 		To:        to,
 		RequestID: r.ID,
 		Request:   newRequest(r, s.dialect.ToUpstream(to, r, remaining)),
 		Head: func(resp *http.Response) {
 			info = s.dialect.FromUpstream(resp.StatusCode, resp.Header, r)
-			ignoredFields += info.IgnoredFields
+			stated.IgnoredFields += info.IgnoredFields
+			stated.Pause = max(stated.Pause, info.Pause)
 			if info.Leaving {
-				leaving = to.Incarnation()
+				stated.Leaving = to.Incarnation()
 			}
 		},
 		MatchesRequest: func(*http.Response) bool { return info.MatchesRequest },
@@ -56,10 +58,11 @@
 	})
 	if err != nil {
 		response := errorResponse(ctx, to, err)
-		response.Leaving, response.IgnoredFields = leaving, ignoredFields
+		response.Leaving, response.Pause, response.IgnoredFields = stated.Leaving, stated.Pause, stated.IgnoredFields
 		return response
 	}
-	response := oriole.Response{Outcome: info.Outcome, Reason: info.Reason, Server: to.ID, Leaving: leaving, IgnoredFields: ignoredFields}
+	response := stated
+	response.Outcome, response.Reason, response.Server = info.Outcome, info.Reason, to.ID
 	if info.Outcome == oriole.OutcomeAnswered {
 		response.Status, response.Header, response.Body = resp.Status, resp.Header, resp.Body
 	}
--- a/pkg/oriole/directory.go
+++ b/pkg/oriole/directory.go
@@ -182,6 +182,9 @@
 	// Leaving is set if the upstream states that it leaves. That holds for the
 	// upstream whichever request the response belongs to.
 	Leaving bool
+	// Pause is how long the upstream, which has turned the request away, wants no
+	// more requests from this VM, or 0 if it does not say. It may be of any length.
+	Pause time.Duration
 	// IgnoredFields is the number of fields that could not be read and are ignored.
 	IgnoredFields int
 }
--- a/pkg/oriole/request.go
+++ b/pkg/oriole/request.go
@@ -65,13 +65,16 @@
 	// ReasonDraining means that the gateway is being stopped and that the request
 	// could have outlasted it.
 	ReasonDraining
+	// ReasonPaused means that the upstreams that may run the request have asked to be
+	// left alone for a time.
+	ReasonPaused
 	reasonCount
 )
 
 var reasonNames = [...]string{
 	"none", "queue-full", "deadline", "not-keeper", "shed", "fenced",
 	"connection", "bad-answer", "crash", "cancelled",
-	"no-owner", "moved", "draining",
+	"no-owner", "moved", "draining", "paused",
 }
 
 // String returns the reason as it is sent to callers in a header.
@@ -123,6 +126,9 @@
 	// an earlier one on its connection, that it leaves, or the zero Incarnation. It
 	// is set whatever the outcome.
 	Leaving Incarnation
+	// Pause is how long the upstream wants no more requests from the VM that it sent
+	// the response to, or 0.
+	Pause time.Duration
 	// IgnoredFields is the number of fields of the upstream's header that could not
 	// be read and are ignored.
 	IgnoredFields int
