A pool keeps to the pauses that its upstreams ask for

A pool sent the next requests to an upstream half a mean duration after it had turned one away, however long it had asked to be left alone.

oriolepause decides how long a pause lasts and which requests may probe: two at most, idempotent ones that would be refused, of the highest priority that is refused, after a third and two thirds of the pause. A pool sends to its other upstreams meanwhile. What can't go elsewhere waits if it can be answered after the pause, and is otherwise refused at once, with the rest of the pause as Retry-After.

The tests of the ledger and of the pool fail when a rule is removed: pauses ignored when an upstream is chosen, or in the expected wait, or for what is queued; the margin before the deadline; the full Retry-After; probes of requests that aren't idempotent; the last response instead of the latest end; the bound of a minute; the priority of probes. They pass now, with the race detector too. One mutant survives as equivalent: without the explicit limit of two, the schedule puts a third probe at the end of the pause.

--- a/pkg/oriole/oriolepool/pool.go
+++ b/pkg/oriole/oriolepool/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolepause"
 )
 
 const (
@@ -23,6 +24,10 @@
 	// maxRetryAfter is the longest: a retry should come before the deadlines of
 	// most callers.
 	maxRetryAfter = time.Second
+	// resumeMargin is how much more time than otherwise must be left before the
+	// deadline of a request that waits for the end of a pause. The caller of the pool
+	// calls Tick at intervals, and the refusal must be back before the deadline.
+	resumeMargin = 50 * time.Millisecond
 )
 
 // JobID identifies a job within a pool.
@@ -41,6 +46,9 @@
 	Job     JobID
 	To      oriole.Upstream
 	Request oriole.Request
+	// Probe is set if the upstream has asked for a pause and gets the request all the
+	// same.
+	Probe bool
 }
 
 // Reply is the final response to a job, whether it was sent or refused.
@@ -64,10 +72,25 @@
 	queue   []*job
 	running map[JobID]*job
 	effects []Effect
+	pauses  *oriolepause.Ledger
+	// elsewhere is set if other pools can run the requests.
+	elsewhere bool
 }
 
 // New returns a pool without upstreams.
-func New() *Pool { return &Pool{running: make(map[JobID]*job)} }
+func New() *Pool { return &Pool{running: make(map[JobID]*job), pauses: oriolepause.New()} }
+
+// SharePauses makes the pool keep to the pauses in the ledger, which is that of all
+// pools of the VM.
+func (p *Pool) SharePauses(pauses *oriolepause.Ledger) { p.pauses = pauses }
+
+// SetElsewhere sets whether other pools can run the requests. Those then don't wait for
+// the end of a pause.
+func (p *Pool) SetElsewhere(elsewhere bool) { p.elsewhere = elsewhere }
+
+// canGoElsewhere reports whether another pool can run the request. One with an
+// idempotency key belongs to one pool.
+func (p *Pool) canGoElsewhere(j *job) bool { return p.elsewhere && j.request.IdempotencyKey == "" }
 
 // TakeEffects returns the effects since the last call, in order.
 func (p *Pool) TakeEffects() []Effect {
@@ -118,6 +141,10 @@
 func (p *Pool) Submit(now time.Time, id JobID, r oriole.Request) {
 	j := &job{id: id, request: r, arrivedAt: now}
 	if reason, wait := p.checkAdmission(now, j); reason != oriole.ReasonNone {
+		if s := p.probe(now, reason, j); s != nil {
+			p.start(now, j, s, true)
+			return
+		}
 		p.refuse(j, reason, wait)
 		return
 	}
@@ -131,16 +158,54 @@
 	if len(p.servers) == 0 {
 		return oriole.ReasonNoOwner, minRetryAfter
 	}
-	if len(p.queue) >= maxQueueLen {
-		return oriole.ReasonQueueFull, p.expectedWait(now, len(p.queue))
-	}
+	full := len(p.queue) >= maxQueueLen
 	wait := p.expectedWait(now, p.queuedBefore(j))
-	if now.Add(wait + p.minTimeLeft(j)).After(j.request.Deadline) {
+	paused := !p.pauseEnd(now).IsZero()
+	needed := wait + p.minTimeLeft(j)
+	if paused {
+		needed += resumeMargin
+	}
+	late := now.Add(needed).After(j.request.Deadline)
+	switch {
+	case paused && (full || late):
+		return oriole.ReasonPaused, wait
+	case full:
+		return oriole.ReasonQueueFull, p.expectedWait(now, len(p.queue))
+	case late:
 		return oriole.ReasonDeadline, wait / 2
 	}
 	return oriole.ReasonNone, 0
 }
 
+// pauseEnd returns when the first upstream takes requests again, if all of them have
+// asked for a pause, or the zero time.
+func (p *Pool) pauseEnd(now time.Time) (first time.Time) {
+	for _, s := range p.servers {
+		until := p.pauses.Until(now, s.upstream.Incarnation())
+		if until.IsZero() {
+			return until
+		}
+		if first.IsZero() || until.Before(first) {
+			first = until
+		}
+	}
+	return first
+}
+
+// probe returns the upstream to send a request to that would be refused because of a
+// pause, or nil.
+func (p *Pool) probe(now time.Time, reason oriole.Reason, j *job) *server {
+	if reason != oriole.ReasonPaused || !j.request.Idempotent || p.canGoElsewhere(j) || now.Add(p.minTimeLeft(j)).After(j.request.Deadline) {
+		return nil
+	}
+	for _, s := range p.servers {
+		if s.canStart(now, p.service) && p.pauses.Probe(now, s.upstream.Incarnation(), j.request.Priority) {
+			return s
+		}
+	}
+	return nil
+}
+
 // queuedBefore returns the number of queued requests that go before the job. It
 // compares priorities only, not soft deadlines as [compareJobs] does.
 func (p *Pool) queuedBefore(j *job) int {
@@ -156,19 +221,26 @@
 // expectedWait returns the expected queueing time of a request with the given
 // number of requests queued before it.
 func (p *Pool) expectedWait(now time.Time, queued int) time.Duration {
+	start := now
+	if end := p.pauseEnd(now); !end.IsZero() {
+		start = end
+	}
 	freeSlots, totalRate := 0, 0.0
 	for _, s := range p.servers {
+		if p.pauses.Until(now, s.upstream.Incarnation()).After(start) {
+			continue
+		}
 		totalRate += s.serviceRate(now, p.service)
-		if now.Before(s.pausedUntil) {
+		if start.Before(s.pausedUntil) {
 			continue
 		}
 		freeSlots += max(s.upstream.Slots-s.running, 0)
 	}
 	excess := queued + 1 - freeSlots
 	if excess <= 0 || totalRate <= 0 {
-		return 0
+		return start.Sub(now)
 	}
-	return time.Duration(float64(excess) / totalRate * float64(time.Second))
+	return start.Sub(now) + time.Duration(float64(excess)/totalRate*float64(time.Second))
 }
 
 // minTimeLeft returns how much time must be left before the deadline of a request
@@ -185,11 +257,20 @@
 
 func (p *Pool) refuse(j *job, reason oriole.Reason, wait time.Duration) {
 	response := oriole.NotRunResponse(reason)
-	response.RetryAfter = min(max(wait, minRetryAfter), maxRetryAfter)
+	response.RetryAfter = retryAfter(wait, reason == oriole.ReasonPaused)
 	response.ExpectedWait = wait
 	p.effects = append(p.effects, Effect{Reply: &Reply{Job: j.id, Response: response}})
 }
 
+// retryAfter returns the time after which a request may be retried that would wait for
+// so long. A pause is told in full.
+func retryAfter(wait time.Duration, paused bool) time.Duration {
+	if paused {
+		return max(wait, minRetryAfter)
+	}
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
+
 // Finish records the response to a started job, replies to the job with it, and
 // starts queued requests in the slot that is now free.
 func (p *Pool) Finish(now time.Time, id JobID, response oriole.Response) {
@@ -200,7 +281,7 @@
 	delete(p.running, id)
 	j.server.finish(now, response, now.Sub(j.startedAt))
 	if response.Outcome == oriole.OutcomeNotRun && response.RetryAfter == 0 {
-		response.RetryAfter = min(max(p.expectedWait(now, len(p.queue)), minRetryAfter), maxRetryAfter)
+		response.RetryAfter = retryAfter(p.expectedWait(now, len(p.queue)), !p.pauseEnd(now).IsZero())
 	}
 	response.ExpectedWait = p.expectedWait(now, len(p.queue))
 	p.effects = append(p.effects, Effect{Reply: &Reply{Job: id, Response: response}})
@@ -236,13 +317,22 @@
 
 // expire refuses queued requests that can no longer be served in time.
 func (p *Pool) expire(now time.Time) {
+	end := p.pauseEnd(now)
+	start := now
+	if !end.IsZero() {
+		start = end.Add(resumeMargin)
+	}
 	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool {
-		if len(p.servers) > 0 && !now.Add(p.minTimeLeft(j)).After(j.request.Deadline) {
+		toLeave := !end.IsZero() && p.canGoElsewhere(j)
+		if len(p.servers) > 0 && !toLeave && !start.Add(p.minTimeLeft(j)).After(j.request.Deadline) {
 			return false
 		}
 		reason := oriole.ReasonDeadline
-		if len(p.servers) == 0 {
+		switch {
+		case len(p.servers) == 0:
 			reason = oriole.ReasonNoOwner
+		case !end.IsZero():
+			reason = oriole.ReasonPaused
 		}
 		p.refuse(j, reason, p.expectedWait(now, len(p.queue)))
 		return true
@@ -260,19 +350,24 @@
 		i := p.nextJob(now, s)
 		j := p.queue[i]
 		p.queue = slices.Delete(p.queue, i, i+1)
-		j.server, j.startedAt = s, now
-		s.start(now)
-		p.running[j.id] = j
-		p.effects = append(p.effects, Effect{Start: &Start{Job: j.id, To: s.upstream, Request: j.request}})
+		p.start(now, j, s, false)
 	}
 }
 
+// start starts the job on the upstream.
+func (p *Pool) start(now time.Time, j *job, s *server, probe bool) {
+	j.server, j.startedAt = s, now
+	s.start(now)
+	p.running[j.id] = j
+	p.effects = append(p.effects, Effect{Start: &Start{Job: j.id, To: s.upstream, Request: j.request, Probe: probe}})
+}
+
 // pickServer returns the available upstream with the shortest expected duration,
 // or nil.
 func (p *Pool) pickServer(now time.Time) *server {
 	var best *server
 	for _, s := range p.servers {
-		if !s.canStart(now, p.service) {
+		if !s.canStart(now, p.service) || !p.pauses.Until(now, s.upstream.Incarnation()).IsZero() {
 			continue
 		}
 		if best == nil || s.expectedDuration() < best.expectedDuration() {
