An upstream that asks for a pause is left alone by the whole VM

In TestBudgetByResponse an upstream that had asked for 3 s got 215 (sharded) and 12 (not sharded) requests between half a second after its first response and the end of that time.

The pool duty keeps one ledger for all pools, also across a restart, and publishes the pauses for the send duties, which hand back what was taken from a queue before. Requests of a service that isn't sharded go to the pool of another zone; the forwarder doesn't ask a paused pool again.

TestBudgetFromResponseOn, TestBudgetIsOfAllPools, TestBudgetRefusesWhatWaitsForSender and TestBudgetPausedPoolIsLeft fail when their part is removed.

--- a/internal/oriolerouter/orioledispatcher/dispatcher.go
+++ b/internal/oriolerouter/orioledispatcher/dispatcher.go
@@ -16,6 +16,7 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolecrash"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioledeparture"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolepause"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolepool"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolering"
 )
@@ -74,6 +75,9 @@
 	cfg      Config
 	events   *oriolering.Ring[event]
 	sendJobs *oriolering.Ring[sendJob]
+	// pauses holds the ends of the pauses that upstreams have asked for. The pool duty
+	// publishes it for the send duties.
+	pauses atomic.Pointer[map[oriole.Incarnation]time.Time]
 	// inFlight counts the calls of Do without a reply.
 	inFlight atomic.Int64
 }
@@ -118,6 +122,7 @@
 type result struct {
 	pool     oriole.PoolID
 	job      oriolepool.JobID
+	to       oriole.Incarnation
 	response oriole.Response
 }
 
@@ -129,7 +134,7 @@
 		events:     oriolering.New[event](ringSize),
 		sendJobs:   oriolering.New[sendJob](ringSize),
 	}
-	disp.Add(&poolDuty{dispatcher: disp, departures: orioledeparture.New()})
+	disp.Add(&poolDuty{dispatcher: disp, departures: orioledeparture.New(), pauses: oriolepause.New()})
 	for range senders {
 		disp.Add(&sendDuty{disp})
 	}
@@ -186,6 +191,13 @@
 	return listed && known.Incarnation() == u.Incarnation() && known.Draining
 }
 
+// paused reports whether the upstream has asked for a pause since the request was
+// taken from its queue.
+func (disp *Dispatcher) paused(u oriole.Upstream) bool {
+	pauses := disp.pauses.Load()
+	return pauses != nil && disp.cfg.Timers.Now().Before((*pauses)[u.Incarnation()])
+}
+
 // sendDuty sends one request at a time.
 type sendDuty struct{ dispatcher *Dispatcher }
 
@@ -199,8 +211,8 @@
 		if err != nil {
 			return err
 		}
-		if disp.leaves(s.To) {
-			if err := disp.events.Put(ctx, event{result: &result{s.pool, s.Job, oriole.NotRunResponse(oriole.ReasonMoved)}}); err != nil {
+		if disp.leaves(s.To) || (!s.Probe && disp.paused(s.To)) {
+			if err := disp.events.Put(ctx, event{result: &result{s.pool, s.Job, s.To.Incarnation(), oriole.NotRunResponse(oriole.ReasonMoved)}}); err != nil {
 				return err
 			}
 			continue
@@ -215,7 +227,7 @@
 		response := disp.cfg.Sender.Send(sendCtx, s.To, s.Request)
 		stop()
 		cancel()
-		if err := disp.events.Put(ctx, event{result: &result{s.pool, s.Job, response}}); err != nil {
+		if err := disp.events.Put(ctx, event{result: &result{s.pool, s.Job, s.To.Incarnation(), response}}); err != nil {
 			return err
 		}
 	}
--- a/internal/oriolerouter/orioledispatcher/duty.go
+++ b/internal/oriolerouter/orioledispatcher/duty.go
@@ -12,6 +12,7 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolecrash"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioledeparture"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleidempotency"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolepause"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleplacement"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolepool"
 )
@@ -29,6 +30,8 @@
 	// departures holds the upstreams that have stated in a response that they leave.
 	// The cluster state shows them a little later. A restart keeps it.
 	departures *orioledeparture.Record
+	// pauses holds the pauses that upstreams have asked for. A restart keeps it.
+	pauses *oriolepause.Ledger
 }
 
 // poolState is a pool and its requests.
@@ -86,6 +89,7 @@
 		d.crashes.RecordCrash(now, e.crash.fingerprint, e.crash.incarnation)
 	case e.result != nil:
 		d.noteHeader(ctx, now, e.result.response)
+		d.notePause(ctx, now, e.result.to, e.result.response.Pause)
 		if p := d.pools[e.result.pool]; p != nil {
 			d.trackCrashes(now, p.jobs[e.result.job], e.result.response)
 			p.pool.Finish(now, e.result.job, e.result.response)
@@ -114,6 +118,7 @@
 	p := d.pools[id]
 	if p == nil {
 		p = &poolState{pool: oriolepool.New(), jobs: make(map[oriolepool.JobID]*pendingRequest)}
+		p.pool.SharePauses(d.pauses)
 		d.pools[id] = p
 		d.updatePool(now, id, p)
 	}
@@ -165,6 +170,9 @@
 	if state.Config != nil {
 		service = state.Config.Services[id.Service]
 	}
+	p.pool.SetElsewhere(id.Server == "" && slices.ContainsFunc(state.UsableUpstreams(id.Service), func(u oriole.Upstream) bool {
+		return orioleplacement.PoolOf(u, false) != id
+	}))
 	upstreams := slices.DeleteFunc(poolUpstreams(state, id), func(u oriole.Upstream) bool { return d.departures.Leaves(u.Incarnation()) })
 	p.pool.Update(now, service, upstreams)
 }
@@ -189,6 +197,31 @@
 	}
 }
 
+// notePause leaves an upstream alone that has asked for a pause.
+func (d *poolDuty) notePause(ctx context.Context, now time.Time, incarnation oriole.Incarnation, pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
+	disp := d.dispatcher
+	disp.cfg.Metrics.Add("pool_pauses", 1)
+	if pause > oriolepause.MaxPause {
+		disp.cfg.Metrics.Add("pool_pauses_bounded", 1)
+	}
+	began := d.pauses.Begin(now, incarnation, pause)
+	running := d.pauses.Running(now)
+	disp.pauses.Store(&running)
+	if !began {
+		return
+	}
+	disp.cfg.Log.WithFields(log.Fields{
+		"upstream": incarnation.ID, "born": incarnation.StartedAt.UnixMilli(), "asked": pause.String(), "pause": running[incarnation].Sub(now).String(),
+	}).Info(oriolelog.MessageUpstreamPaused)
+	for id, p := range d.pools {
+		p.pool.Tick(now)
+		d.execute(ctx, id, p)
+	}
+}
+
 // poolUpstreams returns the usable upstreams of the pool.
 func poolUpstreams(state *oriole.ClusterState, id oriole.PoolID) []oriole.Upstream {
 	if id.Server != "" {
--- a/internal/oriolerouter/orioledispatcher/duty_test.go
+++ b/internal/oriolerouter/orioledispatcher/duty_test.go
@@ -13,6 +13,8 @@
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolecrash"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioledeparture"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolepause"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolepool"
 )
 
@@ -37,9 +39,14 @@
 	responses chan oriole.Response
 }
 
-func (s heldSender) Send(_ context.Context, to oriole.Upstream, _ oriole.Request) oriole.Response {
+func (s heldSender) Send(ctx context.Context, to oriole.Upstream, _ oriole.Request) oriole.Response {
 	s.sent <- to
-	return <-s.responses
+	select {
+	case response := <-s.responses:
+		return response
+	case <-ctx.Done():
+		return oriole.UnknownResponse(oriole.ReasonCancelled)
+	}
 }
 
 // harness is a dispatcher and what it does.
@@ -170,3 +177,83 @@
 	is.Equal(e.result.response, oriole.NotRunResponse(oriole.ReasonMoved))
 	is.Equal(len(h.sent), 0)
 }
+
+// pauseOf is the pause that upstreams ask for.
+const pauseOf = 3 * time.Second
+
+func shedWithPause() oriole.Response {
+	response := oriole.NotRunResponse(oriole.ReasonShed)
+	response.Pause = pauseOf
+	return response
+}
+
+// TestBudgetFromResponseOn guards against sending requests, queued ones among them, to an
+// upstream that has asked for a pause.
+func TestBudgetFromResponseOn(t *testing.T) {
+	is := is.New(t)
+	pool := oriole.PoolID{Service: "s", Zone: "z", Server: "u"}
+	h := newHarness(t, upstream("u", "s"))
+	h.start(t)
+	for range 4 {
+		h.do(pool)
+	}
+	<-h.sent
+	<-h.sent
+	h.responses <- shedWithPause()
+	is.Equal((<-h.replies).RetryAfter >= pauseOf, true)
+	h.responses <- shedWithPause()
+	is.Equal((<-h.replies).RetryAfter >= pauseOf, true)
+	h.Do(context.Background(), oriole.Request{Service: "s", Pool: pool, Deadline: stoppedClock{}.Now().Add(time.Second)}, func(resp oriole.Response) {
+		h.replies <- resp
+	})
+	resp := <-h.replies
+	is.Equal(resp.Outcome, oriole.OutcomeNotRun)
+	is.Equal(resp.Reason, oriole.ReasonPaused)
+	is.True(resp.RetryAfter >= pauseOf)
+	is.Equal(len(h.sent), 0)
+	is.Equal(h.InFlight(), int64(2)) // those that can wait
+}
+
+// TestBudgetIsOfAllPools guards against sending to an upstream through another pool, or
+// after a restart of the pool duty, during the pause that it has asked for.
+func TestBudgetIsOfAllPools(t *testing.T) {
+	is := is.New(t)
+	u := upstream("u", "s")
+	h := newHarness(t, u)
+	duty := &poolDuty{dispatcher: h.Dispatcher, departures: orioledeparture.New(), pauses: oriolepause.New()}
+	refused := func(pool oriole.PoolID) oriole.Reason {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go func() { _ = duty.Serve(ctx) }()
+		h.Do(ctx, oriole.Request{Service: "s", Pool: pool, Deadline: stoppedClock{}.Now().Add(time.Second)}, func(resp oriole.Response) {
+			h.replies <- resp
+		})
+		return (<-h.replies).Reason
+	}
+	// The pool that the request was sent through is gone.
+	is.True(h.events.Offer(event{result: &result{oriole.PoolID{}, 1, u.Incarnation(), shedWithPause()}}))
+	is.Equal(refused(oriole.PoolID{Service: "s", Zone: "z", Server: "u"}), oriole.ReasonPaused)
+	is.Equal(refused(oriole.PoolID{Service: "s", Zone: "z"}), oriole.ReasonPaused)
+	is.Equal(h.sendJobs.Len(), 0)
+}
+
+// TestBudgetRefusesWhatWaitsForSender guards against sending a request that was taken
+// from its queue before the upstream asked for a pause.
+func TestBudgetRefusesWhatWaitsForSender(t *testing.T) {
+	is := is.New(t)
+	u := upstream("u", "s")
+	h := newHarness(t, u)
+	pauses := map[oriole.Incarnation]time.Time{u.Incarnation(): stoppedClock{}.Now().Add(pauseOf)}
+	h.pauses.Store(&pauses)
+	h.responses <- oriole.Response{Outcome: oriole.OutcomeAnswered}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = (&sendDuty{h.Dispatcher}).Serve(ctx) }()
+	job := sendJob{pending: &pendingRequest{ctx: context.Background()}, Start: oriolepool.Start{Job: 1, To: u}}
+	is.True(h.sendJobs.Offer(job))
+	is.Equal((<-h.events.Out()).result.response, oriole.NotRunResponse(oriole.ReasonMoved))
+	is.Equal(len(h.sent), 0)
+	job.Probe = true
+	is.True(h.sendJobs.Offer(job))
+	is.Equal((<-h.events.Out()).result.response.Outcome, oriole.OutcomeAnswered)
+}
--- a/internal/oriolerouter/orioleingress/forwarder.go
+++ b/internal/oriolerouter/orioleingress/forwarder.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -143,7 +144,7 @@
 			return finalResponse(resp, mayHaveRun)
 		}
 		f.cfg.Metrics.Add("entry_again_"+resp.Reason.String(), 1)
-		if resp.Outcome == oriole.OutcomeNotRun && resp.Reason != oriole.ReasonMoved {
+		if resp.Outcome == oriole.OutcomeNotRun && resp.Reason != oriole.ReasonMoved && resp.Reason != oriole.ReasonPaused {
 			f.waitForUpdate(ctx, retryPause)
 		}
 	}
@@ -238,6 +239,8 @@
 		return r.Idempotent && attempt < maxAttempts && resp.Reason != oriole.ReasonDeadline && f.admits(r.Deadline) && f.budget.withdraw(r.Service)
 	}
 	switch resp.Reason {
+	case oriole.ReasonPaused:
+		return attempt < maxNotRunAttempts && f.hasOtherPool(r)
 	case oriole.ReasonFenced, oriole.ReasonShed, oriole.ReasonConnection:
 		return attempt < maxNotRunAttempts && f.budget.withdraw(r.Service)
 	case oriole.ReasonNotDispatcher, oriole.ReasonNoOwner, oriole.ReasonMoved:
@@ -246,6 +249,17 @@
 	return false
 }
 
+// hasOtherPool reports whether another pool than the one that the request was sent to
+// may run it.
+func (f *Forwarder) hasOtherPool(r oriole.Request) bool {
+	if r.Pool.Server != "" || r.IdempotencyKey != "" {
+		return false
+	}
+	return slices.ContainsFunc(f.cfg.State.Snapshot().UsableUpstreams(r.Service), func(u oriole.Upstream) bool {
+		return orioleplacement.PoolOf(u, false) != r.Pool
+	})
+}
+
 // run sends the request to the dispatcher and waits for the response.
 func (f *Forwarder) run(ctx context.Context, dispatcher oriole.GatewayID, r oriole.Request) oriole.Response {
 	start := f.cfg.Clock.Now()
--- a/internal/oriolerouter/orioleingress/forwarder_test.go
+++ b/internal/oriolerouter/orioleingress/forwarder_test.go
@@ -170,6 +170,37 @@
 	is.Equal(source.watches, 2+unrelatedChanges)
 }
 
+// TestBudgetPausedPoolIsLeft guards against asking a paused pool again, and against
+// refusing a request that the pool of another zone can run.
+func TestBudgetPausedPoolIsLeft(t *testing.T) {
+	paused := oriole.NotRunResponse(oriole.ReasonPaused)
+	paused.RetryAfter = 4 * time.Second
+	answered := oriole.Response{Outcome: oriole.OutcomeAnswered, Status: 200}
+	for _, test := range []struct {
+		name, key string
+		otherZone bool
+		attempts  int
+		want      oriole.Outcome
+	}{
+		{"one pool", "", false, 1, oriole.OutcomeNotRun},
+		{"two pools", "", true, 2, oriole.OutcomeAnswered},
+		{"two pools, idempotency key", "k", true, 1, oriole.OutcomeNotRun},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			dispatcher := &scriptedDispatcher{responses: []oriole.Response{paused, answered}}
+			forwarder := newForwarder(dispatcher)
+			if test.otherZone {
+				forwarder.cfg.State.Snapshot().Upstreams["j"] = oriole.Upstream{ID: "j", Service: "s", Zone: "y", Slots: 2}
+			}
+			resp := forwarder.Do(context.Background(), oriole.Request{Service: "s", IdempotencyKey: test.key, Deadline: time.Now().Add(time.Minute)}, 2)
+			is.Equal(resp.Outcome, test.want)
+			is.Equal(dispatcher.attempts, test.attempts)
+			is.True(resp.Outcome == oriole.OutcomeAnswered || resp.RetryAfter == paused.RetryAfter)
+		})
+	}
+}
+
 // Requests must stay in their zone unless the wait there exceeds the penalty for
 // another zone, and must stay there again once the reported wait has decayed.
 func TestPoolInSameZoneIsPreferred(t *testing.T) {
--- a/internal/oriolerouter/oriolelog/message.go
+++ b/internal/oriolerouter/oriolelog/message.go
@@ -47,7 +47,9 @@
 	MessageUpstreamGone    = "upstream gone"
 	// MessageUpstreamLeaving says that an upstream has stated in a response that it
 	// leaves: to this gateway, or to the peer.
-	MessageUpstreamLeaving   = "upstream leaving"
+	MessageUpstreamLeaving = "upstream leaving"
+	// MessageUpstreamPaused says that an upstream has asked to be left alone.
+	MessageUpstreamPaused    = "upstream paused"
 	MessageZoneChanged       = "zone"
 	MessageDirectoryLost     = "directory lost"
 	MessageDirectoryRegained = "directory regained"
--- a/internal/oriolesite/leaving_test.go
+++ b/internal/oriolesite/leaving_test.go
@@ -49,3 +49,44 @@
 		})
 	}
 }
+
+// TestBudgetByResponse checks that an upstream which asks to be left alone gets at most
+// two requests from half a second after its first response to the end of the time, and
+// that the rest is served by others, or refused if only this one owns the key.
+func TestBudgetByResponse(t *testing.T) {
+	for _, test := range []struct {
+		name, upstream string
+		sharded        bool
+	}{
+		{"sharded", "board-0", true},
+		{"not sharded", "tow-0", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t)
+			stop := s.StartLoad(oriolesite.VMs...)
+			u := s.Upstreams()[test.upstream]
+			is.NoErr(s.Await("the upstream serves", func() bool { return u.StartedRequests() > 20 }))
+			const pause, transit = 3 * time.Second, 500 * time.Millisecond
+			u.Pause(pause)
+			is.NoErr(s.Await("it turns a request away", func() bool { return len(u.TurnedAway()) > 0 }))
+			time.Sleep(pause)
+			if !test.sharded {
+				started := u.StartedRequests()
+				is.NoErr(s.Await("it is used again", func() bool { return u.StartedRequests() > started }))
+			}
+			summary := stop()
+			arrivals := u.TurnedAway()
+			during := 0
+			for _, at := range arrivals {
+				if at.Sub(arrivals[0]) > transit {
+					during++
+				}
+			}
+			t.Logf("%d arrivals, %d of them after %v; %+v", len(arrivals), during, transit, summary)
+			is.True(during <= 2)
+			is.Equal(len(summary.Violations), 0)
+			is.True(test.sharded || summary.Refused == 0)
+		})
+	}
+}
