--- a/internal/oriolerouter/orioledispatcher/dispatcher.go
+++ b/internal/oriolerouter/orioledispatcher/dispatcher.go
@@ -15,6 +15,8 @@
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolecrash"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioledeparture"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolepause"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolepool"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolering"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolestop"
@@ -58,6 +60,9 @@
 	// ReportUnreachable reports that an upstream of a sharded service accepted no
 	// connection.
 	ReportUnreachable func(ctx context.Context, service oriole.ServiceName, incarnation oriole.Incarnation)
+	// ReportLeaving records that an upstream has stated that it leaves. It is called
+	// before the response that said so is passed on.
+	ReportLeaving func(ctx context.Context, incarnation oriole.Incarnation)
 	// CloseIdleConns is called when the cluster state changes, to close idle
 	// connections to incarnations for which keep returns false: the directory no
 	// longer lists them.
@@ -71,6 +76,9 @@
 	cfg      Config
 	events   *oriolering.Ring[event]
 	sendJobs *oriolering.Ring[sendJob]
+	// pauses holds the ends of the pauses that upstreams have asked for. The pool duty
+	// publishes it for the send duties.
+	pauses atomic.Pointer[map[oriole.Incarnation]time.Time]
 	// inFlight counts the calls of Do without a reply.
 	inFlight atomic.Int64
 	// schedule is nil until the gateway is being stopped. Once finishing is set, no
@@ -119,6 +127,7 @@
 type result struct {
 	pool     oriole.PoolID
 	job      oriolepool.JobID
+	to       oriole.Incarnation
 	response oriole.Response
 }
 
@@ -130,7 +139,7 @@
 		events:     oriolering.New[event](ringSize),
 		sendJobs:   oriolering.New[sendJob](ringSize),
 	}
-	disp.Add(&poolDuty{dispatcher: disp})
+	disp.Add(&poolDuty{dispatcher: disp, departures: orioledeparture.New(), pauses: oriolepause.New()})
 	for range senders {
 		disp.Add(&sendDuty{disp})
 	}
@@ -190,6 +199,20 @@
 	return nil
 }
 
+// leaves reports whether the upstream has begun to leave since the request was
+// taken from its queue.
+func (disp *Dispatcher) leaves(u oriole.Upstream) bool {
+	known, listed := disp.cfg.State.Snapshot().Upstreams[u.ID]
+	return listed && known.Incarnation() == u.Incarnation() && known.Draining
+}
+
+// paused reports whether the upstream has asked for a pause since the request was
+// taken from its queue.
+func (disp *Dispatcher) paused(u oriole.Upstream) bool {
+	pauses := disp.pauses.Load()
+	return pauses != nil && disp.cfg.Timers.Now().Before((*pauses)[u.Incarnation()])
+}
+
 // sendDuty sends one request at a time.
 type sendDuty struct{ dispatcher *Dispatcher }
 
@@ -203,6 +226,12 @@
 		if err != nil {
 			return err
 		}
+		if disp.leaves(s.To) || (!s.Probe && disp.paused(s.To)) {
+			if err := disp.events.Put(ctx, event{result: &result{s.pool, s.Job, s.To.Incarnation(), oriole.NotRunResponse(oriole.ReasonMoved)}}); err != nil {
+				return err
+			}
+			continue
+		}
 		sendCtx, cancel := context.WithCancel(ctx)
 		stop := func() bool { return true }
 		if s.Request.Idempotent {
@@ -213,7 +242,7 @@
 		response := disp.cfg.Sender.Send(sendCtx, s.To, s.Request)
 		stop()
 		cancel()
-		if err := disp.events.Put(ctx, event{result: &result{s.pool, s.Job, response}}); err != nil {
+		if err := disp.events.Put(ctx, event{result: &result{s.pool, s.Job, s.To.Incarnation(), response}}); err != nil {
 			return err
 		}
 	}
--- a/internal/oriolerouter/oriolelog/message.go
+++ b/internal/oriolerouter/oriolelog/message.go
@@ -42,9 +42,14 @@
 	MessageConfigApplied = "configuration in force"
 	// MessageUpstreamChanged reports a new or changed upstream. Of the first list
 	// only the number of upstreams is logged, as MessageUpstreamsListed.
-	MessageUpstreamChanged   = "upstream"
-	MessageUpstreamsListed   = "upstreams listed"
-	MessageUpstreamGone      = "upstream gone"
+	MessageUpstreamChanged = "upstream"
+	MessageUpstreamsListed = "upstreams listed"
+	MessageUpstreamGone    = "upstream gone"
+	// MessageUpstreamLeaving says that an upstream has stated in a response that it
+	// leaves: to this gateway, or to the peer.
+	MessageUpstreamLeaving = "upstream leaving"
+	// MessageUpstreamPaused says that an upstream has asked to be left alone.
+	MessageUpstreamPaused    = "upstream paused"
 	MessageZoneChanged       = "zone"
 	MessageDirectoryLost     = "directory lost"
 	MessageDirectoryRegained = "directory regained"
--- a/pkg/oriole/request.go
+++ b/pkg/oriole/request.go
@@ -65,13 +65,16 @@
 	// ReasonDraining means that the gateway is being stopped and that the request
 	// could have outlasted it.
 	ReasonDraining
+	// ReasonPaused means that the upstreams that may run the request have asked to be
+	// left alone for a time.
+	ReasonPaused
 	reasonCount
 )
 
 var reasonNames = [...]string{
 	"none", "queue-full", "deadline", "not-keeper", "shed", "fenced",
 	"connection", "bad-answer", "crash", "cancelled",
-	"no-owner", "moved", "draining",
+	"no-owner", "moved", "draining", "paused",
 }
 
 // String returns the reason as it is sent to callers in a header.
@@ -119,6 +122,16 @@
 	Body    []byte
 	// Server is the upstream that the request was last sent to, or empty.
 	Server ServerID
+	// Leaving is the upstream that has stated in a response to this request, or to
+	// an earlier one on its connection, that it leaves, or the zero Incarnation. It
+	// is set whatever the outcome.
+	Leaving Incarnation
+	// Pause is how long the upstream wants no more requests from the VM that it sent
+	// the response to, or 0.
+	Pause time.Duration
+	// IgnoredFields is the number of fields of the upstream's header that could not
+	// be read and are ignored.
+	IgnoredFields int
 	// RetryAfter is the time after which a caller may retry a request that has
 	// not run, or 0 if unknown.
 	RetryAfter time.Duration
