Time the directory's last response by the monotonic clock

A gateway whose wall clock was set back told its peers that it reached the directory, with a negative age, until the clock had caught up. In an outage of the store for all, a leader took this for proof that the others reach it, and resigned: all keys lost their leader until the store was back.

The time of the last response was kept in Unix nanoseconds, without its monotonic reading, and neither side checked the age. The tracker now keeps the time itself, the age is at least 0 for the sender and the receiver, and the state machine records no response in the future.

PeerReachedStore takes the current time, and the tests pass it. The tests of the watcher record a response through the tracker's own function.

TestResponseInFutureIsNoEvidence failed before (the leader resigned) and passes now. A test with a clock that goes back by a minute found a negative age before; as TestDirectoryUnreachableAfterClockIsSetBack it passes now.

--- a/internal/oriolerouter/oriolestate/follow.go
+++ b/internal/oriolerouter/oriolestate/follow.go
@@ -215,7 +215,7 @@
 func (d *followDuty[T]) backOff(ctx context.Context, err error) bool {
 	logger := d.tracker.cfg.Log.WithField("feed", d.kind)
 	if err == nil {
-		d.tracker.lastResponse.Store(d.tracker.cfg.Timers.Now().UnixNano())
+		d.tracker.recordResponse()
 		if d.failing {
 			logger.Info(oriolelog.MessageDirectoryRegained)
 		}
--- a/internal/oriolerouter/oriolestate/tracker.go
+++ b/internal/oriolerouter/oriolestate/tracker.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,9 +68,9 @@
 	// relays.
 	relayed map[string]*oriolering.Ring[*oriolemessage.Feed]
 	current atomic.Pointer[snapshot]
-	// lastResponse is when the directory last responded to this gateway, in Unix
-	// nanoseconds.
-	lastResponse atomic.Int64
+	// lastResponse is when the directory last responded to this gateway, or nil. It
+	// has a monotonic reading, since the wall clock may be set back.
+	lastResponse atomic.Pointer[time.Time]
 	// lastRelay is when a peer last relayed an update, in Unix nanoseconds.
 	lastRelay atomic.Int64
 
@@ -213,9 +214,20 @@
 // call the directory, so a result of false does not show an outage.
 func (t *Tracker) DirectoryReachable() bool { return t.DirectoryAge() <= reachableWindow }
 
-// DirectoryAge returns the time since the directory last responded to this gateway.
+// DirectoryAge returns the time since the directory last responded to this gateway,
+// or the maximum duration if it never did. It is not negative.
 func (t *Tracker) DirectoryAge() time.Duration {
-	return t.cfg.Timers.Now().Sub(time.Unix(0, t.lastResponse.Load()))
+	last := t.lastResponse.Load()
+	if last == nil {
+		return math.MaxInt64
+	}
+	return max(0, t.cfg.Timers.Now().Sub(*last))
+}
+
+// recordResponse records that the directory has responded to this gateway.
+func (t *Tracker) recordResponse() {
+	now := t.cfg.Timers.Now()
+	t.lastResponse.Store(&now)
 }
 
 // Subscribe returns a channel that receives a value at once and after each
--- a/internal/oriolerouter/oriolestate/tracker_test.go
+++ b/internal/oriolerouter/oriolestate/tracker_test.go
@@ -56,6 +56,20 @@
 	is.True(!tracker.DirectoryReachable())
 }
 
+// TestDirectoryUnreachableAfterClockIsSetBack guards against heartbeats that show
+// the directory as reached until the wall clock has caught up.
+func TestDirectoryUnreachableAfterClockIsSetBack(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	clock := &manualClock{now: start}
+	tracker := newTracker(clock)
+	d := &followDuty[oriole.ZoneName]{tracker: tracker, kind: "zones"}
+	is.True(!d.backOff(context.Background(), nil))
+	is.Equal(*tracker.lastResponse.Load(), start) // with its monotonic reading
+	clock.now = start.Round(0).Add(-time.Minute)
+	is.Equal(tracker.DirectoryAge(), time.Duration(0))
+}
+
 // apply applies updates to a copy of the state.
 func apply(tracker *Tracker, state *oriole.ClusterState, updates ...update) *oriole.ClusterState {
 	b := newBookkeeping(tracker.cfg)
--- a/internal/oriolerouter/oriolestate/watcher_test.go
+++ b/internal/oriolerouter/oriolestate/watcher_test.go
@@ -38,7 +38,7 @@
 
 // reach records that the directory has responded to a gateway, which tells its peers.
 func (w *watchers) reach(i int) {
-	w.trackers[i].lastResponse.Store(w.clock.now.UnixNano())
+	w.trackers[i].recordResponse()
 	for _, t := range w.trackers {
 		t.RecordPeerResponse(w.trackers[i].cfg.Self.ID, w.clock.now)
 	}
--- a/internal/oriolerouter/receiver.go
+++ b/internal/oriolerouter/receiver.go
@@ -81,7 +81,7 @@
 	if heartbeat.StoreReachable {
 		// A gateway that can't reach the store learns from heartbeats that
 		// peers can, even while the watcher can't reach it either.
-		age := time.Duration(heartbeat.StoreAge) * time.Microsecond
+		age := max(0, time.Duration(heartbeat.StoreAge)*time.Microsecond)
 		r.leader.PeerReachedStore(ctx, age)
 		r.tracker.RecordPeerResponse(from, r.timers.Now().Add(-age))
 	}
--- a/pkg/oriole/orioleassign/leadership.go
+++ b/pkg/oriole/orioleassign/leadership.go
@@ -20,8 +20,11 @@
 	return m.current.Term
 }
 
-// PeerReachedStore records that the store responded to a peer at the given time.
-func (m *Machine) PeerReachedStore(at time.Time) { m.peerReachedStore = later(m.peerReachedStore, at) }
+// PeerReachedStore records that the store responded to a peer at the given time,
+// or now if that is in the future.
+func (m *Machine) PeerReachedStore(now, at time.Time) {
+	m.peerReachedStore = later(m.peerReachedStore, earlier(at, now))
+}
 
 // resignIfCutOff resigns the leadership if this gateway can't reach the store
 // while others can: without the store a leader can renew leases, but not change
--- a/pkg/oriole/orioleassign/resign_test.go
+++ b/pkg/oriole/orioleassign/resign_test.go
@@ -23,12 +23,12 @@
 // leader in an outage of the store, because peers reached it just before.
 func TestLeaderStaysWhenNobodyReachesStore(t *testing.T) {
 	x := newTakeover(t)
-	x.old.PeerReachedStore(x.now)
+	x.old.PeerReachedStore(x.now, x.now)
 	x.now = x.now.Add(10 * time.Millisecond)
 	x.failReads(2*time.Second, nil)
 	x.True(x.old.Leading())
 	// A report that arrives late doesn't show that the store is back.
-	x.old.PeerReachedStore(x.now.Add(-2 * time.Second))
+	x.old.PeerReachedStore(x.now, x.now.Add(-2*time.Second))
 	x.failReads(time.Second, nil)
 	x.True(x.old.Leading())
 }
@@ -37,7 +37,17 @@
 // replace a leader that doesn't.
 func TestLeaderThatAloneMissesStoreResigns(t *testing.T) {
 	x := newTakeover(t)
-	x.failReads(time.Second, func(now time.Time) { x.old.PeerReachedStore(now) })
+	x.failReads(time.Second, func(now time.Time) { x.old.PeerReachedStore(now, now) })
 	x.True(!x.old.Leading())
 	x.Equal(x.old.MinRenewTerm(), x.old.current.Term+1)
 }
+
+// TestResponseInFutureIsNoEvidence guards against resigning in an outage of the
+// store because the clock of a peer was set back.
+func TestResponseInFutureIsNoEvidence(t *testing.T) {
+	x := newTakeover(t)
+	x.old.PeerReachedStore(x.now, x.now.Add(2*time.Second))
+	x.now = x.now.Add(10 * time.Millisecond)
+	x.failReads(2500*time.Millisecond, nil)
+	x.True(x.old.Leading())
+}
--- a/pkg/oriole/orioleassign/sim_test.go
+++ b/pkg/oriole/orioleassign/sim_test.go
@@ -224,7 +224,7 @@
 			return
 		}
 		if s.othersReachStore(g) {
-			s.deliver(g, func() { g.machine.PeerReachedStore(s.clock.Now()) })
+			s.deliver(g, func() { g.machine.PeerReachedStore(s.clock.Now(), s.clock.Now()) })
 		}
 		s.deliver(g, func() { g.machine.Tick(s.clock.Now()) })
 		s.schedule(50*time.Millisecond, tick)
