A leader resigns only on reports that can't be from before its store failed

When the store failed for all, a leader could resign, and all keys were left without a leader: a report that a peer reaches the store, sent before the failure, arrived after the leader's first failed read had begun.

The age in a heartbeat is fixed when it is built, relayed updates count as age 0, and the leader subtracted the age only when it handled the event. Time in rings, sockets and the network made the report younger. It is now stamped on arrival, and counts only if it is later than the first failed read, and than the end of a stall of this gateway, plus maxEvidenceDelay.

TestDelayedReportIsNoEvidence and TestReportsThatWaitedDuringStallAreNoEvidence failed before (the leader resigned) and pass now. No test covers the stamping on arrival.

--- a/internal/oriolerouter/orioleleader/leader.go
+++ b/internal/oriolerouter/orioleleader/leader.go
@@ -124,7 +124,9 @@
 // heartbeat or by a directory update that it relayed. age is the time since the
 // store responded to the peer.
 func (l *Leader) PeerReachedStore(ctx context.Context, age time.Duration) {
-	l.enqueue(ctx, event{"", func(now time.Time, m *orioleassign.Machine) { m.PeerReachedStore(now, now.Add(-age)) }})
+	// The event may wait in the ring.
+	at := l.cfg.Timers.Now().Add(-age)
+	l.enqueue(ctx, event{"", func(now time.Time, m *orioleassign.Machine) { m.PeerReachedStore(now, at) }})
 }
 
 // AddLoad adds request counts by bucket of the service's keys to the load, and
--- a/pkg/oriole/orioleassign/leadership.go
+++ b/pkg/oriole/orioleassign/leadership.go
@@ -30,9 +30,11 @@
 // while others can: without the store a leader can renew leases, but not change
 // owners. If nobody reaches the store, leases are renewed only as long as the
 // leader stays, so that a response from before its own calls failed shows nothing.
+// Frames that waited while this gateway was stalled may be older than they seem.
 func (m *Machine) resignIfCutOff(now time.Time) {
 	cutOff := !m.storeFailingSince.IsZero() && now.Sub(m.storeFailingSince) >= storeFailureTimeout
-	if cutOff && m.peerReachedStore.After(m.storeFailingSince) && now.Sub(m.peerReachedStore) < peerStoreValidity {
+	evidenceFrom := later(m.storeFailingSince, m.stalledAt).Add(maxEvidenceDelay)
+	if cutOff && m.peerReachedStore.After(evidenceFrom) && now.Sub(m.peerReachedStore) < peerStoreValidity {
 		m.stepDown("store is reachable only by other gateways")
 		m.resignedTerm = m.current.Term
 	}
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -71,6 +71,9 @@
 	// gateways watch the store with waits of less than a second.
 	storeFailureTimeout = 400 * time.Millisecond
 	peerStoreValidity   = 1500 * time.Millisecond
+	// maxEvidenceDelay bounds the time that a frame with such evidence is on its
+	// way: in rings, in the network, and in sockets until it is read.
+	maxEvidenceDelay = 500 * time.Millisecond
 	// unansweredTimeout is how long calls must go unanswered before an upstream
 	// counts as down. It leaves time for two more grants before the lease
 	// expires.
--- a/pkg/oriole/orioleassign/resign_test.go
+++ b/pkg/oriole/orioleassign/resign_test.go
@@ -42,6 +42,34 @@
 	x.Equal(x.old.MinRenewTerm(), x.old.current.Term+1)
 }
 
+// TestDelayedReportIsNoEvidence guards against resigning in an outage of the store
+// because a report from before it was on its way for long.
+func TestDelayedReportIsNoEvidence(t *testing.T) {
+	for _, delay := range []time.Duration{100 * time.Millisecond, maxEvidenceDelay} {
+		x := newTakeover(t)
+		arrival := x.now.Add(delay)
+		x.failReads(2*time.Second, func(now time.Time) {
+			if now.Equal(arrival) {
+				x.old.PeerReachedStore(now, now)
+			}
+		})
+		x.True(x.old.Leading())
+	}
+}
+
+// TestReportsThatWaitedDuringStallAreNoEvidence guards against resigning in an
+// outage of the store after a pause of the leader.
+func TestReportsThatWaitedDuringStallAreNoEvidence(t *testing.T) {
+	x := newTakeover(t)
+	x.old.Tick(x.now)
+	x.failReads(100*time.Millisecond, nil)
+	x.now = x.now.Add(2 * time.Second)
+	x.old.Tick(x.now)
+	x.old.PeerReachedStore(x.now, x.now)
+	x.failReads(time.Second, nil)
+	x.True(x.old.Leading())
+}
+
 // TestResponseInFutureIsNoEvidence guards against resigning in an outage of the
 // store because the clock of a peer was set back.
 func TestResponseInFutureIsNoEvidence(t *testing.T) {
