A leader resigns after two failed store calls in a row, not after one

One lost response replaced a leader whose store was fine: a read that times out takes 800 ms, which is more than storeFailureTimeout, so the first failed read already met it. A leader that was paused with a read in flight resigned the same way.

Two calls in a row must now fail, the second one started after the first has failed; an unanswered write counts too. A leader reads again as soon as the first call has failed for storeFailureTimeout, also if its leadership was confirmed a moment ago. Any response of the store starts the count anew.

TestLeaderStaysAfterOneLostResponse and TestLeaderStaysAfterLostResponsesOfConcurrentCalls failed before (the leader resigned after the first call) and pass now.

--- a/pkg/oriole/orioleassign/leadership.go
+++ b/pkg/oriole/orioleassign/leadership.go
@@ -32,7 +32,7 @@
 // leader stays, so that a response from before its own calls failed shows nothing.
 // Frames that waited while this gateway was stalled may be older than they seem.
 func (m *Machine) resignIfCutOff(now time.Time) {
-	cutOff := !m.storeFailingSince.IsZero() && now.Sub(m.storeFailingSince) >= storeFailureTimeout
+	cutOff := m.failedCalls >= storeFailureThreshold && now.Sub(m.storeFailingSince) >= storeFailureTimeout
 	evidenceFrom := later(m.storeFailingSince, m.stalledAt).Add(maxEvidenceDelay)
 	if cutOff && m.peerReachedStore.After(evidenceFrom) && now.Sub(m.peerReachedStore) < peerStoreValidity {
 		m.stepDown("store is reachable only by other gateways")
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -65,12 +65,15 @@
 	// probed after downProbeDelay.
 	downThreshold  = 2
 	downProbeDelay = 3 * time.Second
-	// storeFailureTimeout is how long a leader's reads must fail before it
-	// resigns in favour of gateways that reach the store. peerStoreValidity is
-	// how long evidence that another gateway reaches the store stays valid:
-	// gateways watch the store with waits of less than a second.
-	storeFailureTimeout = 400 * time.Millisecond
-	peerStoreValidity   = 1500 * time.Millisecond
+	// storeFailureThreshold is the number of consecutive store calls of a leader
+	// that must fail, and storeFailureTimeout for how long, before it resigns in
+	// favour of gateways that reach the store: one response may be lost.
+	// peerStoreValidity is how long evidence that another gateway reaches the
+	// store stays valid: gateways watch the store with waits of less than a
+	// second.
+	storeFailureThreshold = 2
+	storeFailureTimeout   = 400 * time.Millisecond
+	peerStoreValidity     = 1500 * time.Millisecond
 	// maxEvidenceDelay bounds the time that a frame with such evidence is on its
 	// way: in rings, in the network, and in sockets until it is read.
 	maxEvidenceDelay = 500 * time.Millisecond
@@ -123,9 +126,12 @@
 	nextWrite    time.Time
 	// peerReachedStore is when a heartbeat or a relayed directory update last
 	// showed that a peer reaches the store. storeFailingSince is when this
-	// gateway's own reads began to fail, or zero.
+	// gateway's own calls began to fail, or zero, failedCalls counts those that have
+	// failed since, and callFailedAt is when the last one did.
 	peerReachedStore  time.Time
 	storeFailingSince time.Time
+	failedCalls       int
+	callFailedAt      time.Time
 	// resignedTerm is the term in which the leader, a peer or this gateway, has
 	// resigned.
 	resignedTerm uint64
--- a/pkg/oriole/orioleassign/resign_test.go
+++ b/pkg/oriole/orioleassign/resign_test.go
@@ -42,6 +42,59 @@
 	x.Equal(x.old.MinRenewTerm(), x.old.current.Term+1)
 }
 
+// callTimeout is how long a call takes whose response is lost.
+const callTimeout = 800 * time.Millisecond
+
+// loseResponse lets a read that was started at the given time fail, and a peer
+// reach the store.
+func (x *takeover) loseResponse(started time.Time) {
+	x.old.startRead(x.now, false)
+	for x.now.Before(started.Add(callTimeout)) {
+		x.now = x.now.Add(callTimeout / 4)
+		x.old.Tick(x.now)
+	}
+	x.old.PeerReachedStore(x.now, x.now)
+	x.old.ReadDone(x.now, started, oriole.Assignment{}, oriole.Version{}, false, errTimeout)
+}
+
+// TestLeaderStaysAfterOneLostResponse guards against replacing a leader whose store
+// is fine, because the response to one read was lost.
+func TestLeaderStaysAfterOneLostResponse(t *testing.T) {
+	x := newTakeover(t)
+	x.old.confirmLeadership(x.now)
+	x.old.Tick(x.now)
+	x.loseResponse(x.now)
+	x.True(x.old.Leading())
+	x.old.TakeEffects()
+	x.old.Tick(x.now)
+	reads, _, _, _ := x.effects(x.old)
+	x.Equal(reads, 1) // again at once
+	x.old.ReadDone(x.now, x.now, x.old.current, x.old.version, false, nil)
+	x.loseResponse(x.now)
+	x.True(x.old.Leading()) // not two in a row
+	x.loseResponse(x.now)
+	x.True(!x.old.Leading())
+}
+
+// TestLeaderStaysAfterLostResponsesOfConcurrentCalls guards against replacing a
+// leader whose store is fine, because it was paused with a read and a write in
+// flight.
+func TestLeaderStaysAfterLostResponsesOfConcurrentCalls(t *testing.T) {
+	x := newTakeover(t)
+	x.old.confirmLeadership(x.now)
+	x.old.Tick(x.now)
+	started := x.now
+	x.old.startWrite(x.now, x.old.current.Clone())
+	x.loseResponse(started)
+	x.old.WriteDone(x.now, started, x.old.current, oriole.Version{}, errTimeout)
+	x.True(x.old.Leading())
+	x.True(x.old.reading) // what the write did
+	x.old.ReadDone(x.now, started, oriole.Assignment{}, oriole.Version{}, false, errTimeout)
+	x.True(x.old.Leading())
+	x.loseResponse(x.now)
+	x.True(!x.old.Leading())
+}
+
 // TestDelayedReportIsNoEvidence guards against resigning in an outage of the store
 // because a report from before it was on its way for long.
 func TestDelayedReportIsNoEvidence(t *testing.T) {
--- a/pkg/oriole/orioleassign/store.go
+++ b/pkg/oriole/orioleassign/store.go
@@ -11,22 +11,22 @@
 // ReadDone handles the result of a Read that was started at the given time.
 func (m *Machine) ReadDone(now, started time.Time, a oriole.Assignment, version oriole.Version, stale bool, err error) {
 	m.reading = false
-	switch {
-	case err == nil, errors.Is(err, oriole.ErrNotFound):
-		m.storeFailingSince = time.Time{}
-	case !stale && m.storeFailingSince.IsZero():
-		m.storeFailingSince = started
-	}
 	found := !errors.Is(err, oriole.ErrNotFound)
 	switch {
 	case found && err != nil:
-		m.nextRead = now.Add(readRetryDelay)
+		if !stale {
+			m.recordFailedCall(now, started)
+		}
+		m.nextRead = m.readRetry(now)
 		m.nextConfirm = now.Add(confirmRetryDelay)
 		m.nextWrite = now.Add(writeRetryDelay)
 		if m.leading {
 			m.resignIfCutOff(now)
 		}
 		return
+	}
+	m.recordStoreResponse()
+	switch {
 	case !m.observeEra(now, version, stale):
 		// The store was restored since.
 	case !found:
@@ -37,6 +37,35 @@
 	m.Tick(now)
 }
 
+// recordFailedCall records that a call to the store that was started at the given
+// time has failed. Calls that ran at the same time count as one: what delayed or
+// lost one response may have lost the other.
+func (m *Machine) recordFailedCall(now, started time.Time) {
+	if m.failedCalls > 0 && started.Before(m.callFailedAt) {
+		return
+	}
+	if m.failedCalls == 0 {
+		m.storeFailingSince = started
+	}
+	m.failedCalls++
+	m.callFailedAt = now
+}
+
+// recordStoreResponse records that the store has responded.
+func (m *Machine) recordStoreResponse() {
+	m.storeFailingSince, m.failedCalls = time.Time{}, 0
+}
+
+// readRetry returns when the next read is due after a failed one. A leader's
+// second call decides whether it resigns, and is due at once or when the first has
+// failed for storeFailureTimeout.
+func (m *Machine) readRetry(now time.Time) time.Time {
+	if m.leading && m.failedCalls > 0 && m.failedCalls < storeFailureThreshold {
+		return later(now, m.storeFailingSince.Add(storeFailureTimeout))
+	}
+	return now.Add(readRetryDelay)
+}
+
 // reconcileMissing handles a read that found no assignment.
 func (m *Machine) reconcileMissing(now, started time.Time, version oriole.Version, stale bool) {
 	switch {
@@ -110,6 +139,12 @@
 		return
 	}
 	switch {
+	case err == nil, errors.Is(err, oriole.ErrConflict), errors.Is(err, oriole.ErrRestored):
+		m.recordStoreResponse()
+	case !errors.Is(err, oriole.ErrBusy):
+		m.recordFailedCall(now, started)
+	}
+	switch {
 	case err == nil && m.hasCurrent && a.Term < m.current.Term:
 		return
 	case err == nil && !m.leading && version.Era < m.storeEra:
@@ -162,9 +197,10 @@
 }
 
 // renewLeadership reads the assignment in time to confirm that this gateway is
-// still the leader.
+// still the leader, and again after a failed call.
 func (m *Machine) renewLeadership(now time.Time) {
-	if now.Sub(m.confirmedAt) >= m.cfg.LeaderLease/4 && !m.nextRead.After(now) && m.pendingWrite == nil {
+	due := now.Sub(m.confirmedAt) >= m.cfg.LeaderLease/4 || m.failedCalls > 0
+	if due && !m.nextRead.After(now) && m.pendingWrite == nil {
 		m.startRead(now, false)
 		m.nextRead = now.Add(min(pollInterval, m.cfg.LeaderLease/8))
 	}
