--- a/pkg/oriole/orioleassign/leadership.go
+++ b/pkg/oriole/orioleassign/leadership.go
@@ -20,16 +20,21 @@
 	return m.current.Term
 }
 
-// PeerReachedStore records that the store responded to a peer at the given time.
-func (m *Machine) PeerReachedStore(at time.Time) { m.peerReachedStore = later(m.peerReachedStore, at) }
+// PeerReachedStore records that the store responded to a peer at the given time,
+// or now if that is in the future.
+func (m *Machine) PeerReachedStore(now, at time.Time) {
+	m.peerReachedStore = later(m.peerReachedStore, earlier(at, now))
+}
 
 // resignIfCutOff resigns the leadership if this gateway can't reach the store
 // while others can: without the store a leader can renew leases, but not change
 // owners. If nobody reaches the store, leases are renewed only as long as the
 // leader stays, so that a response from before its own calls failed shows nothing.
+// Frames that waited while this gateway was stalled may be older than they seem.
 func (m *Machine) resignIfCutOff(now time.Time) {
-	cutOff := !m.storeFailingSince.IsZero() && now.Sub(m.storeFailingSince) >= storeFailureTimeout
-	if cutOff && m.peerReachedStore.After(m.storeFailingSince) && now.Sub(m.peerReachedStore) < peerStoreValidity {
+	cutOff := m.failedCalls >= storeFailureThreshold && now.Sub(m.storeFailingSince) >= storeFailureTimeout
+	evidenceFrom := later(m.storeFailingSince, m.stalledAt).Add(maxEvidenceDelay)
+	if cutOff && m.peerReachedStore.After(evidenceFrom) && now.Sub(m.peerReachedStore) < peerStoreValidity {
 		m.stepDown("store is reachable only by other gateways")
 		m.resignedTerm = m.current.Term
 	}
