A ready response waits for room in the ring of its link

Callers saw: a request ran, its response was ready, and yet they waited until their deadline and got the outcome "unknown".

Cause: the reply offered its frames to the ring and dropped the rest if there was no room. The peer was told nothing.

Change: the rest waits for room, in a goroutine since the pool duty calls the reply and must not block. The wait ends with the link, or when the peer cancels the request; there are as many as requests of the peer without a response. Ending the link at once would have told the forwarder earlier, but would have lost every other response that is ready on it, and the outcome of the requests that run.

--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -188,7 +188,7 @@
 	l.mu.Unlock()
 	parts, tail := splitBody(number, r.Body)
 	r.Body = tail
-	if !l.offerAll(parts, &oriolemessage.Frame{Request: oriolemessage.FromRequest(number, r, now)}) {
+	if rest := l.offerAll(append(parts, &oriolemessage.Frame{Request: oriolemessage.FromRequest(number, r, now)})); rest != nil {
 		l.removePending(number)
 		return oriole.NotRunResponse(oriole.ReasonQueueFull)
 	}
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -282,15 +282,9 @@
 
 func (p *Links) handleRequest(ctx context.Context, l *link, forwarded *oriolemessage.Request) {
 	l.unanswered.Add(1)
-	reply := func(resp oriole.Response) {
-		l.stopServing(forwarded.Number)
-		var parts []*oriolemessage.Frame
-		parts, resp.Body = splitBody(forwarded.Number, resp.Body)
-		if !l.offerAll(parts, &oriolemessage.Frame{Response: oriolemessage.FromResponse(forwarded.Number, forwarded.Id, resp)}) {
-			p.cfg.Metrics.Add("link_ring_full", 1)
-			l.unanswered.Add(-1)
-		}
-	}
+	ctx, cancel := context.WithCancel(ctx)
+	l.startServing(forwarded.Number, cancel)
+	reply := func(resp oriole.Response) { p.respond(ctx, l, forwarded, resp) }
 	body, complete := l.assemble(forwarded.Number, forwarded.Body)
 	forwarded.Body = body
 	r, err := forwarded.ToRequest(p.cfg.Timers.Now())
@@ -302,11 +296,30 @@
 		reply(oriole.NotRunResponse(oriole.ReasonBadResponse))
 		return
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	l.startServing(forwarded.Number, cancel)
 	p.cfg.Receiver.HandleRequest(ctx, r, reply)
 }
 
+// respond queues the response to a peer's request. ctx ends with the link, or when
+// the peer cancels the request.
+func (p *Links) respond(ctx context.Context, l *link, forwarded *oriolemessage.Request, resp oriole.Response) {
+	var parts []*oriolemessage.Frame
+	parts, resp.Body = splitBody(forwarded.Number, resp.Body)
+	rest := l.offerAll(append(parts, &oriolemessage.Frame{Response: oriolemessage.FromResponse(forwarded.Number, forwarded.Id, resp)}))
+	if rest == nil {
+		l.stopServing(forwarded.Number)
+		return
+	}
+	p.cfg.Metrics.Add("link_ring_full", 1)
+	// The caller is a duty that must not block. The wait is short: each write
+	// makes room, or ends the link after writeTimeout.
+	go func() {
+		defer l.stopServing(forwarded.Number)
+		if err := l.putAll(ctx, rest); err != nil {
+			l.unanswered.Add(-1)
+		}
+	}()
+}
+
 const (
 	// finishInterval is how often Finish checks for responses that are not written.
 	finishInterval = 20 * time.Millisecond
--- a/internal/oriolerouter/oriolelink/part.go
+++ b/internal/oriolerouter/oriolelink/part.go
@@ -1,6 +1,7 @@
 package oriolelink
 
 import (
+	"context"
 	"time"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
@@ -31,15 +32,26 @@
 	return parts, body
 }
 
-// offerAll queues the frames in order. It stops and reports false if the ring is
+// offerAll queues the frames in order. It returns those that remain if the ring is
 // full.
-func (l *link) offerAll(frames []*oriolemessage.Frame, last *oriolemessage.Frame) bool {
-	for _, frame := range append(frames, last) {
+func (l *link) offerAll(frames []*oriolemessage.Frame) (rest []*oriolemessage.Frame) {
+	for i, frame := range frames {
 		if !l.out.Offer(&outgoing{frame: frame}) {
-			return false
+			return frames[i:]
 		}
 	}
-	return true
+	return nil
+}
+
+// putAll queues the frames in order, blocking while the ring is full until ctx is
+// done.
+func (l *link) putAll(ctx context.Context, frames []*oriolemessage.Frame) error {
+	for _, frame := range frames {
+		if err := l.out.Put(ctx, &outgoing{frame: frame}); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // partialBody is a body whose last part has not arrived yet.
