A restarted pool duty answers the requests that it has lost

Callers saw: when the pool duty of a dispatcher failed and was restarted, those whose requests it held waited until their deadline. Each later stop of that gateway lasted to its cut, and ended without closing the links in good order.

Cause: the restart dropped the queues, and no reply was called for what they held, so that the number of requests in flight never returned to 0.

Change: the duty holds the requests without a reply in a set, from when it takes them from the ring, and a restart answers them "unknown". That includes duplicates that wait for another request, and the request whose submission failed. One that was still queued is "unknown" as well: after a failure in between, the duty's records don't prove that it was not sent.

TestRestartedPoolDutyReportsNothingAsNotRun asserted that nothing is said of lost requests at all. It asserts now that each is answered once and "unknown"; "not run" still fails it, and so does a second reply.

Evidence: TestStopAfterRestartOfPoolDuty failed before ("3 requests not finished") and passes now, as does the changed test (before: no reply), and the package five times with the race detector.

--- a/internal/oriolerouter/orioledispatcher/dispatcher.go
+++ b/internal/oriolerouter/orioledispatcher/dispatcher.go
@@ -138,7 +138,7 @@
 }
 
 // Do runs the request on the pool that it names, and calls reply exactly once. If
-// the pool duty fails and restarts meanwhile, reply is never called. A request that
+// the pool duty fails and restarts meanwhile, the outcome is unknown. A request that
 // could outlast the gateway is refused with ReasonNotDispatcher, so that another
 // dispatcher is asked.
 func (disp *Dispatcher) Do(ctx context.Context, r oriole.Request, reply func(oriole.Response)) {
--- a/internal/oriolerouter/orioledispatcher/duplicate.go
+++ b/internal/oriolerouter/orioledispatcher/duplicate.go
@@ -26,21 +26,21 @@
 		d.duplicates[orioleidempotency.JobID(req.job)] = req
 	case response != nil:
 		d.dispatcher.cfg.Metrics.Add("pool_repeated", 1)
-		req.reply(*response)
+		d.reply(req, *response)
 	}
 	return joined || response != nil
 }
 
 // respond replies to the request and to its duplicates.
 func (d *poolDuty) respond(now time.Time, req *pendingRequest, response oriole.Response) {
-	req.reply(response)
+	d.reply(req, response)
 	if !req.atMostOnce() {
 		return
 	}
 	for _, job := range d.idempotency.End(now, orioleidempotency.KeyOf(&req.request), orioleidempotency.JobID(req.job), response) {
 		if duplicate := d.duplicates[job]; duplicate != nil {
 			delete(d.duplicates, job)
-			duplicate.reply(response)
+			d.reply(duplicate, response)
 		}
 	}
 }
--- a/internal/oriolerouter/orioledispatcher/duty.go
+++ b/internal/oriolerouter/orioledispatcher/duty.go
@@ -18,6 +18,8 @@
 type poolDuty struct {
 	dispatcher *Dispatcher
 	pools      map[oriole.PoolID]*poolState
+	// unanswered holds the requests taken from the ring that have no reply yet.
+	unanswered map[*pendingRequest]bool
 	nextJob    oriolepool.JobID
 	crashes    *oriolecrash.Detector
 	// idempotency holds the responses by idempotency key. duplicates holds the
@@ -38,9 +40,10 @@
 // Serve implements suture.Service.
 func (d *poolDuty) Serve(ctx context.Context) error {
 	disp := d.dispatcher
-	// A restart loses the pending requests, whose callers time out, and the
-	// records of crashes and idempotency keys. nextJob is kept, so that results
-	// of requests sent before match no new job.
+	// A restart loses the pending requests, and the records of crashes and
+	// idempotency keys. nextJob is kept, so that results of requests sent before
+	// match no new job.
+	d.failUnanswered()
 	d.pools = make(map[oriole.PoolID]*poolState)
 	d.crashes = oriolecrash.New()
 	d.idempotency = orioleidempotency.New()
@@ -88,15 +91,32 @@
 	}
 }
 
+// reply replies to the request.
+func (d *poolDuty) reply(req *pendingRequest, response oriole.Response) {
+	delete(d.unanswered, req)
+	req.reply(response)
+}
+
+// failUnanswered replies to the requests that a previous run of the duty has lost. Any
+// of them may have been sent.
+func (d *poolDuty) failUnanswered() {
+	for req := range d.unanswered {
+		d.dispatcher.cfg.Metrics.Add("pool_lost", 1)
+		d.reply(req, oriole.UnknownResponse(oriole.ReasonCancelled))
+	}
+	d.unanswered = make(map[*pendingRequest]bool)
+}
+
 func (d *poolDuty) submit(ctx context.Context, now time.Time, req *pendingRequest) {
+	d.unanswered[req] = true
 	if req.ctx.Err() != nil {
-		req.reply(oriole.NotRunResponse(oriole.ReasonCancelled))
+		d.reply(req, oriole.NotRunResponse(oriole.ReasonCancelled))
 		return
 	}
 	req.fingerprint = oriolecrash.FingerprintOf(req.request)
 	if d.crashes.Refuses(now, req.fingerprint) {
 		d.dispatcher.cfg.Metrics.Add("pool_crash_refused", 1)
-		req.reply(oriole.NotRunResponse(oriole.ReasonCrash))
+		d.reply(req, oriole.NotRunResponse(oriole.ReasonCrash))
 		return
 	}
 	d.nextJob++
--- a/internal/oriolerouter/orioledispatcher/notrun_test.go
+++ b/internal/oriolerouter/orioledispatcher/notrun_test.go
@@ -144,8 +144,8 @@
 	}
 }
 
-// A pool duty that restarts must say nothing of the requests that it has lost, and
-// must not take their responses for those to later requests.
+// A pool duty that restarts must report the requests that it has lost as unknown, once
+// each, and must not take their responses for those to later requests.
 func TestRestartedPoolDutyReportsNothingAsNotRun(t *testing.T) {
 	is := is.New(t)
 	disp, state, sender := startFailingDispatcher(t)
@@ -167,6 +167,42 @@
 	time.Sleep(settleTime)
 	sentAfter.response <- oriole.Response{Outcome: oriole.OutcomeAnswered, Status: 201}
 	is.Equal((<-after).Status, 201)
-	is.Equal(len(running)+len(queued), 0)
+	for _, lost := range []<-chan oriole.Response{running, queued} {
+		is.Equal(len(lost), 1)
+		is.Equal((<-lost).Outcome, oriole.OutcomeUnknown)
+	}
 	is.Equal(len(sender), 0) // the queued request is lost
 }
+
+// TestStopAfterRestartOfPoolDuty guards against a stop that waits until its end for
+// requests that a restarted pool duty has lost: one that ran, its duplicate, and the
+// one whose submission failed.
+func TestStopAfterRestartOfPoolDuty(t *testing.T) {
+	is := is.New(t)
+	disp, state, sender := startFailingDispatcher(t)
+	first := request("first", false)
+	first.IdempotencyKey = "key"
+	duplicate := first
+	duplicate.ID = "duplicate"
+	lost := []<-chan oriole.Response{do(context.Background(), disp, first)}
+	sent := <-sender
+	lost = append(lost, do(context.Background(), disp, duplicate))
+	for len(disp.events.Out()) > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	state.mu.Lock()
+	state.failing = true
+	state.mu.Unlock()
+	other := request("other", false)
+	other.Pool.Zone = "y" // a new pool, for which the duty reads the state
+	lost = append(lost, do(context.Background(), disp, other))
+	<-state.panicked
+
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	is.NoErr(disp.Finish(ctx))
+	for _, responses := range lost {
+		is.Equal((<-responses).Outcome, oriole.OutcomeUnknown)
+	}
+	sent.response <- oriole.Response{Outcome: oriole.OutcomeAnswered, Status: 200} // too late
+}
