A stop closes its peers' links whatever remains of callers

Peers saw: the end of a planned stop reset their links, so that a response which was written but not read could be lost ("unknown" to the caller). That happened if a request of a caller was in flight when the grace period ended, and if a caller had sent only the first bytes of a request: such a connection holds the stop until its cut, 5.5 s of 6.

Cause: Drain skipped the steps after the first that failed, and the handshake that closes the links ran with the context that had just ended. The wait for responses to peers could use up all of it as well.

Change: Drain always finishes the dispatcher and the links, and reports the first error. The links get until Schedule.CloseUntil, 0.1 s after the cut, which comes out of the exit reserve; Finish leaves that time for the handshake. The process still ends within the grace period: TestScheduleFitsGracePeriod now counts CloseTimeout.

Evidence: before, TestDrainClosesLinksWhenRequestsRemain ("the link was not closed"), TestFinishClosesLinksWhenRequestsRemain (no close frame) and TestUnfinishedHeaderLeavesTimeToCloseLinks (Drain returned at the cut) failed. They pass now, as do oriolerouter, oriolelink, oriolegateway and oriolestop with the race detector. An unfinished header still holds the stop until the cut.

--- a/internal/oriolerouter/drain_test.go
+++ b/internal/oriolerouter/drain_test.go
@@ -15,12 +15,16 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/coder/websocket"
 	"github.com/matryer/is"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
 	"github.com/orioleswitch/orioleswitch/internal/oriolerouter"
+	"github.com/orioleswitch/orioleswitch/internal/oriolerouter/oriolelink"
 	"github.com/orioleswitch/orioleswitch/internal/orioleupstream"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolestop"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
 	"github.com/orioleswitch/orioleswitch/platform"
 	"github.com/orioleswitch/orioleswitch/platform/standin"
@@ -317,3 +321,91 @@
 	t.Logf("%d requests served, %d refused, %d not accepted", served.Load(), refused.Load(), notAccepted.Load())
 	is.True(served.Load() > 0)
 }
+
+// dialPeer opens a link to the gateway as a peer does.
+func dialPeer(t *testing.T, addr netip.AddrPort) *websocket.Conn {
+	t.Helper()
+	conn, _, err := websocket.Dial(context.Background(), "ws://"+addr.String()+oriolelink.Path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.CloseNow() })
+	hello, err := oriolemessage.Encode(&oriolemessage.Frame{Hello: oriolemessage.FromMember(oriole.Member{
+		ID: "peer.1", VM: "peer", Zone: "z", PeerAddr: netip.MustParseAddrPort("127.0.0.1:1"), Weight: 1,
+	})})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.Write(context.Background(), websocket.MessageBinary, hello); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// TestDrainClosesLinksWhenRequestsRemain guards against a stop that breaks off the
+// links of peers because a caller's request outlasts it.
+func TestDrainClosesLinksWhenRequestsRemain(t *testing.T) {
+	is := is.New(t)
+	store, checker := standin.NewStore(), standin.NewChecker()
+	putConfig(t, store, "s", map[string]time.Duration{"/": 2 * gracePeriod})
+	_, cleanup, err := standin.NewUpstream(checker, store, "u", "s", "z", netip.AddrPort{}, standin.WithRequestDuration(2*gracePeriod))
+	is.NoErr(err)
+	defer cleanup()
+	r, settings, stop := startRouter(t, store, func(d oriole.Directory) oriole.Directory { return d })
+	for !r.Ready() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+settings.CallerAddr.String()+"/", nil)
+		if err != nil {
+			return
+		}
+		req.Host, req.Header = "h", standin.CallerHeader("id", 1, 2*gracePeriod)
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			_ = resp.Body.Close()
+		}
+	}()
+	for checker.Runs("id") == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	peer := dialPeer(t, settings.PeerAddr)
+	closed := make(chan error, 1)
+	go func() {
+		for {
+			if _, _, err := peer.Read(ctx); err != nil {
+				closed <- err
+				return
+			}
+		}
+	}()
+	is.True(r.Drain(context.Background()) != nil)
+	select {
+	case err := <-closed:
+		is.Equal(websocket.CloseStatus(err), websocket.StatusGoingAway)
+	case <-time.After(gracePeriod):
+		t.Error("the link was not closed")
+	}
+	_ = stop()
+}
+
+// TestUnfinishedHeaderLeavesTimeToCloseLinks guards against a stop that a caller with an
+// unfinished header holds until no time is left for peers to confirm that they have
+// read everything.
+func TestUnfinishedHeaderLeavesTimeToCloseLinks(t *testing.T) {
+	is := is.New(t)
+	r, settings, stop := startRouter(t, standin.NewStore(), func(d oriole.Directory) oriole.Directory { return d })
+	caller, err := net.Dial("tcp", settings.CallerAddr.String())
+	is.NoErr(err)
+	defer func() { _ = caller.Close() }()
+	_, err = caller.Write([]byte("GE"))
+	is.NoErr(err)
+	peer := dialPeer(t, settings.PeerAddr)
+	_, _, err = peer.Read(context.Background()) // it reads nothing after the first heartbeat, so it doesn't confirm
+	is.NoErr(err)
+	schedule := oriolestop.New(time.Now(), gracePeriod)
+	is.NoErr(r.Drain(context.Background()))
+	is.True(!time.Now().Before(schedule.CloseUntil))
+	_ = stop()
+}
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -20,6 +20,7 @@
 	"github.com/orioleswitch/orioleswitch/internal/orioleupstream"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleliveness"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolestop"
 )
 
 // Path is the HTTP path that accepts connections from peers.
@@ -331,17 +332,10 @@
 // Finish waits until the responses to all requests of peers were handed to their
 // connections, or the connections have ended. It then closes these connections
 // with a handshake: a process that exits resets a connection with unread frames,
-// and the peer could lose a response.
+// and the peer could lose a response. The last oriolestop.CloseTimeout before ctx's
+// deadline is left for the handshake; requests not answered by then are an error.
 func (p *Links) Finish(ctx context.Context) error {
-	ticks, stop := p.cfg.Timers.Subscribe(finishInterval)
-	defer stop()
-	for n := p.unanswered(); n > 0; n = p.unanswered() {
-		select {
-		case <-ticks:
-		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "%d requests of peers not answered", n)
-		}
-	}
+	err := p.awaitResponses(ctx)
 	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
 	for _, closed := range p.closeAccepted() {
@@ -349,7 +343,25 @@
 		case <-closed:
 		case <-ctx.Done():
 			// The responses were handed to the connections.
-			return nil
+			return err
+		}
+	}
+	return err
+}
+
+func (p *Links) awaitResponses(ctx context.Context) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-oriolestop.CloseTimeout))
+		defer cancel()
+	}
+	ticks, stop := p.cfg.Timers.Subscribe(finishInterval)
+	defer stop()
+	for n := p.unanswered(); n > 0; n = p.unanswered() {
+		select {
+		case <-ticks:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d requests of peers not answered", n)
 		}
 	}
 	return nil
--- a/internal/oriolerouter/oriolelink/links_test.go
+++ b/internal/oriolerouter/oriolelink/links_test.go
@@ -16,6 +16,7 @@
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolestop"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
 )
 
@@ -288,3 +289,25 @@
 	is.NoErr(conn.CloseNow())
 	is.NoErr(links.Finish(context.Background()))
 }
+
+// TestFinishClosesLinksWhenRequestsRemain guards against a stop that breaks off all
+// links because the response to one request does not come.
+func TestFinishClosesLinksWhenRequestsRemain(t *testing.T) {
+	is := is.New(t)
+	links, member, receiver := startLinks(t, "dispatcher.1")
+	conn := dialRaw(t, member, "forwarder.1")
+	writeRaw(t, conn, &oriolemessage.Frame{Request: oriolemessage.FromRequest(1, oriole.Request{
+		ID: "r", Pool: oriole.PoolID{Service: "s"}, Method: "GET", Deadline: time.Now().Add(time.Minute),
+	}, time.Now())})
+	<-receiver.replies
+	finishCtx, cancel := context.WithTimeout(context.Background(), 2*oriolestop.CloseTimeout)
+	defer cancel()
+	is.True(links.Finish(finishCtx) != nil) // it reports the request
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var err error
+	for err == nil {
+		_, err = readRaw(ctx, conn)
+	}
+	is.Equal(websocket.CloseStatus(err), websocket.StatusGoingAway)
+}
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -311,10 +311,13 @@
 }
 
 // Drain hands the gateway's work over to its peers and completes the requests in
-// flight. It returns when that is done or the grace period expires.
+// flight. It returns when that is done, or shortly before the grace period expires; the
+// error is then of the first step that was not completed.
 func (r *Router) Drain(ctx context.Context) (err error) {
 	defer func() { err = errors.Wrap(err, "drain gateway") }()
 	schedule := oriolestop.New(r.timers.Now(), r.settings.GracePeriod)
+	closeCtx, cancelClose := context.WithDeadline(ctx, schedule.CloseUntil)
+	defer cancelClose()
 	ctx, cancel := context.WithDeadline(ctx, schedule.CutAt)
 	defer cancel()
 	r.log.Info(oriolelog.MessageDraining)
@@ -333,14 +336,15 @@
 	case <-propagated.C:
 	case <-ctx.Done():
 	}
-	if err := r.callerServer.Shutdown(ctx, r.timers); err != nil {
-		return err
+	err = r.callerServer.Shutdown(ctx, r.timers)
+	// Complete the requests that peers have forwarded, also if callers remain.
+	if finishErr := r.dispatcher.Finish(ctx); err == nil {
+		err = finishErr
 	}
-	// Complete the requests that peers have forwarded.
-	if err := r.dispatcher.Finish(ctx); err != nil {
-		return err
+	if finishErr := r.links.Finish(closeCtx); err == nil {
+		err = finishErr
 	}
-	return r.links.Finish(ctx)
+	return err
 }
 
 // currentMember returns this gateway's entry, with whether it is draining now.
--- a/pkg/oriole/oriolestop/stop.go
+++ b/pkg/oriole/oriolestop/stop.go
@@ -17,10 +17,13 @@
 	// deadlines of their requests.
 	answerReserve = 250 * time.Millisecond
 	// DutyTimeout is how long the process waits for its duties to end, and
-	// FlushTimeout how long it writes the rest of the log. Together they are
-	// shorter than exitReserve.
+	// FlushTimeout how long it writes the rest of the log. Together with
+	// CloseTimeout they are shorter than exitReserve.
 	DutyTimeout  = 200 * time.Millisecond
 	FlushTimeout = 100 * time.Millisecond
+	// CloseTimeout is the part of exitReserve in which peers confirm that their
+	// connections are closed: many round trips between zones.
+	CloseTimeout = 100 * time.Millisecond
 )
 
 // Schedule is the course of a planned stop. A nil Schedule is that of a gateway
@@ -33,6 +36,8 @@
 	AnswerUntil time.Time
 	// CutAt is when the connections that remain are closed.
 	CutAt time.Time
+	// CloseUntil is until when peers may confirm that their connections are closed.
+	CloseUntil time.Time
 }
 
 // New returns the schedule of a stop that starts at the given time. The process is
@@ -42,6 +47,7 @@
 		ListenUntil: start.Add(min(readinessPropagation, gracePeriod-exitReserve-answerReserve)),
 		AnswerUntil: start.Add(gracePeriod - exitReserve - answerReserve),
 		CutAt:       start.Add(gracePeriod - exitReserve),
+		CloseUntil:  start.Add(gracePeriod - exitReserve + CloseTimeout),
 	}
 }
 
--- a/pkg/oriole/oriolestop/stop_test.go
+++ b/pkg/oriole/oriolestop/stop_test.go
@@ -48,7 +48,8 @@
 		is.True(schedule.ListenUntil.After(start))
 		is.True(!schedule.ListenUntil.After(schedule.AnswerUntil))
 		is.True(schedule.AnswerUntil.Before(schedule.CutAt))
-		is.True(schedule.CutAt.Add(oriolestop.DutyTimeout + oriolestop.FlushTimeout).Before(start.Add(grace)))
+		is.True(schedule.CutAt.Before(schedule.CloseUntil))
+		is.True(schedule.CloseUntil.Add(oriolestop.DutyTimeout + oriolestop.FlushTimeout).Before(start.Add(grace)))
 	}
 }
 
