A dispatcher that refuses a request is not asked for it again

Callers saw: 503 after some 31 ms, while other gateways of the pool's zone were idle. A dispatcher that is being stopped refuses long requests before its peers know of the stop, and the forwarder sent each of its four attempts to that dispatcher.

Cause: the choice of the dispatcher depends on the cluster state alone, which doesn't change before the heartbeat that tells of the stop.

Change: within one request, gateways that answered ReasonNotDispatcher are left out, so that the next-ranked is asked, and at last this gateway itself.

Evidence: TestDispatcherThatRefusesIsNotAskedAgain failed before (one peer was asked eight times in two requests, both "not run") and passes now, as does the package with the race detector.

--- a/internal/oriolerouter/orioleingress/forwarder.go
+++ b/internal/oriolerouter/orioleingress/forwarder.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -120,9 +121,12 @@
 	f.countLoad(r)
 	f.budget.deposit(r.Service)
 	mayHaveRun := false
+	// refused holds the gateways that don't dispatch the request, although the
+	// cluster state may still list them as dispatchers.
+	var refused []oriole.GatewayID
 	for attempt := 1; ; attempt++ {
 		attempts = attempt
-		pool, dispatcher, reason := f.target(ctx, r)
+		pool, dispatcher, reason := f.target(ctx, r, refused)
 		if reason != oriole.ReasonNone {
 			resp := oriole.NotRunResponse(reason)
 			resp.RetryAfter = noOwnerRetryAfter
@@ -143,6 +147,9 @@
 			return finalResponse(resp, mayHaveRun)
 		}
 		f.cfg.Metrics.Add("entry_again_"+resp.Reason.String(), 1)
+		if resp.Reason == oriole.ReasonNotDispatcher {
+			refused = append(refused, dispatcher)
+		}
 		if resp.Outcome == oriole.OutcomeNotRun && resp.Reason != oriole.ReasonMoved {
 			f.waitForUpdate(ctx, retryPause)
 		}
@@ -277,9 +284,9 @@
 }
 
 // target returns the pool of the request and the pool's dispatcher, or the reason
-// why there is none or the request must not be passed on. It waits up to
-// ownerWaitTimeout for an owner.
-func (f *Forwarder) target(ctx context.Context, r oriole.Request) (pool oriole.PoolID, dispatcher oriole.GatewayID, reason oriole.Reason) {
+// why there is none or the request must not be passed on. Gateways in refused are
+// left out. It waits up to ownerWaitTimeout for an owner.
+func (f *Forwarder) target(ctx context.Context, r oriole.Request, refused []oriole.GatewayID) (pool oriole.PoolID, dispatcher oriole.GatewayID, reason oriole.Reason) {
 	waitCtx, cancel := context.WithTimeout(ctx, ownerWaitTimeout)
 	defer cancel()
 	for {
@@ -289,7 +296,7 @@
 		state, updated := f.cfg.State.Watch()
 		pool, reason = f.poolFor(state, r)
 		if reason == oriole.ReasonNone {
-			return pool, f.dispatcherFor(state, pool), reason
+			return pool, f.dispatcherFor(state, pool, refused), reason
 		}
 		if reason != oriole.ReasonNoOwner {
 			return pool, "", reason
@@ -330,11 +337,11 @@
 	return orioleplacement.PoolOf(u, true), oriole.ReasonNone
 }
 
-// dispatcherFor returns the highest ranked dispatcher of the pool that is
-// reachable, or this gateway if none is.
-func (f *Forwarder) dispatcherFor(state *oriole.ClusterState, pool oriole.PoolID) oriole.GatewayID {
+// dispatcherFor returns the highest ranked dispatcher of the pool that is reachable
+// and not in refused, or this gateway if there is none.
+func (f *Forwarder) dispatcherFor(state *oriole.ClusterState, pool oriole.PoolID, refused []oriole.GatewayID) oriole.GatewayID {
 	for _, id := range f.rankings.Ranking(pool, state.LiveMembers()) {
-		if id == f.cfg.Self.ID || f.cfg.Peers.Reachable(id) {
+		if !slices.Contains(refused, id) && (id == f.cfg.Self.ID || f.cfg.Peers.Reachable(id)) {
 			return id
 		}
 	}
--- a/internal/oriolerouter/orioleingress/forwarder_test.go
+++ b/internal/oriolerouter/orioleingress/forwarder_test.go
@@ -242,3 +242,52 @@
 		is.Equal(len(dispatcher.attempts), 1)
 	}
 }
+
+// refusingPeers refuse all requests, as dispatchers that are being stopped.
+type refusingPeers struct{ asked map[oriole.GatewayID]int }
+
+func (refusingPeers) Reachable(oriole.GatewayID) bool { return true }
+
+func (p refusingPeers) Forward(_ context.Context, to oriole.GatewayID, _ oriole.Request) oriole.Response {
+	p.asked[to]++
+	return oriole.NotRunResponse(oriole.ReasonNotDispatcher)
+}
+
+// TestDispatcherThatRefusesIsNotAskedAgain guards against refusing a request while the
+// next-ranked dispatchers are idle: the peers are being stopped, and the cluster state
+// doesn't show it yet.
+func TestDispatcherThatRefusesIsNotAskedAgain(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		peers []oriole.GatewayID
+		// self is the response of this gateway's own dispatcher, and attempts how
+		// often it is asked.
+		self     oriole.Response
+		want     oriole.Outcome
+		attempts int
+	}{
+		{"one peer", []oriole.GatewayID{"b.1"}, oriole.Response{Outcome: oriole.OutcomeAnswered, Status: 200}, oriole.OutcomeAnswered, 1},
+		{"three peers", []oriole.GatewayID{"b.1", "c.1", "d.1"}, oriole.Response{Outcome: oriole.OutcomeAnswered, Status: 200}, oriole.OutcomeAnswered, 1},
+		{"all refuse", []oriole.GatewayID{"b.1"}, oriole.NotRunResponse(oriole.ReasonNotDispatcher), oriole.OutcomeNotRun, maxNotRunAttempts - 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			dispatcher := &scriptedDispatcher{responses: []oriole.Response{test.self}}
+			forwarder := newForwarder(dispatcher)
+			peers := refusingPeers{make(map[oriole.GatewayID]int)}
+			forwarder.cfg.Peers = peers
+			state := forwarder.cfg.State.Snapshot()
+			for _, id := range test.peers {
+				state.Gateways[id], state.Alive[id] = oriole.Member{ID: id, VM: string(id), Zone: "z", Weight: 1}, true
+			}
+			for range 2 { // a refusal counts within one request only
+				resp := forwarder.Do(context.Background(), oriole.Request{Service: "s", Deadline: time.Now().Add(time.Minute)}, 2)
+				is.Equal(resp.Outcome, test.want)
+			}
+			for _, id := range test.peers {
+				is.Equal(peers.asked[id], 2)
+			}
+			is.Equal(dispatcher.attempts, 2*test.attempts)
+		})
+	}
+}
