A gateway that drains tells its peers before calls that may block

Callers saw: requests with long deadlines refused by a dispatcher that was being stopped, since their gateways did not know of the stop yet.

Cause: Drain broadcast the heartbeat that tells of it after two calls that wait for room in the rings of the leader and of the cluster state, while requests were refused from the start.

Change: the broadcast comes first.

Evidence: TestPeersLearnOfDrainFirst, with a full ring of the leader, failed before (no heartbeat within 5 s; no duty runs in the test, while in a gateway the heartbeat duty would send it some 0.2 s later) and passes now, also with the race detector.

--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -327,9 +327,10 @@
 	if !r.draining.Swap(true) {
 		close(r.drainStarted)
 	}
+	// Peers should learn of the drain before the calls that may block.
+	r.links.BroadcastHeartbeat()
 	r.leader.Resign(ctx)
 	r.tracker.UpdateGateway(ctx, r.currentMember())
-	r.links.BroadcastHeartbeat()
 	propagated := time.NewTimer(schedule.ListenUntil.Sub(r.timers.Now()))
 	defer propagated.Stop()
 	select {
