The departure of an upstream is no crash

Callers saw: a request refused for the rest of a minute although it had crashed nothing. Three upstreams had broken a connection that carried it, as one does that is being stopped, and had then left in good order or were only missing from the list of a store that was restored.

Cause: a suspected upstream counted as crashed as soon as the list did not show its incarnation any more.

Change: what ends an incarnation is a later one under the same ID, or a refused connection. An upstream that is only missing stays suspected for the five seconds, and one that drains is not suspected.

--- a/internal/oriolerouter/orioledispatcher/crash.go
+++ b/internal/oriolerouter/orioledispatcher/crash.go
@@ -12,13 +12,15 @@
 
 // trackCrashes updates the crash detector from the result of a request that was
 // sent. If the connection broke, the request is suspected of crashing the
-// upstream. If no connection could be opened, the incarnation counts as ended.
+// upstream, unless that was draining. If no connection could be opened, the incarnation counts as ended.
 // Any other result clears the suspicions against requests to the upstream.
 func (d *poolDuty) trackCrashes(ctx context.Context, now time.Time, req *pendingRequest, response oriole.Response) {
 	switch {
 	case req == nil:
 	case response.Outcome == oriole.OutcomeUnknown && response.Reason == oriole.ReasonConnection:
-		d.crashes.ConnectionLost(now, req.incarnation, req.fingerprint)
+		if u := d.dispatcher.cfg.State.Snapshot().Upstreams[req.incarnation.ID]; u.Incarnation() != req.incarnation || !u.Draining {
+			d.crashes.ConnectionLost(now, req.incarnation, req.fingerprint)
+		}
 	case response.Outcome == oriole.OutcomeNotRun && response.Reason == oriole.ReasonConnection:
 		d.recordCrashes(now, req.incarnation)
 		if req.pool.Server != "" {
--- a/internal/oriolerouter/orioledispatcher/duty.go
+++ b/internal/oriolerouter/orioledispatcher/duty.go
@@ -149,8 +149,16 @@
 	}
 	state := d.dispatcher.cfg.State.Snapshot()
 	for _, incarnation := range d.crashes.Suspects() {
-		if u, listed := state.Upstreams[incarnation.ID]; !listed || u.Incarnation() != incarnation {
+		u, listed := state.Upstreams[incarnation.ID]
+		switch {
+		case !listed:
+			// It may have left in good order, or only be missing from a list that
+			// was restored.
+		case u.StartedAt.After(incarnation.StartedAt):
 			d.recordCrashes(now, incarnation)
+		case u.Incarnation() == incarnation && u.Draining:
+			// Its end is planned.
+			d.crashes.ClearSuspect(incarnation)
 		}
 	}
 	d.dispatcher.cfg.CloseIdleConns(func(incarnation oriole.Incarnation) bool {
