--- a/internal/oriolerouter/orioleingress/forwarder_test.go
+++ b/internal/oriolerouter/orioleingress/forwarder_test.go
@@ -218,7 +218,7 @@
 	is.Equal(resp.Reason, oriole.ReasonNoOwner)
 }
 
-// silentDispatcher never replies, as one whose pool duty has restarted.
+// silentDispatcher never replies.
 type silentDispatcher struct{ attempts chan struct{} }
 
 func (d silentDispatcher) Do(context.Context, oriole.Request, func(oriole.Response)) {
