--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -20,6 +20,7 @@
 	"github.com/orioleswitch/orioleswitch/internal/orioleupstream"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleliveness"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolestop"
 )
 
 // Path is the HTTP path that accepts connections from peers.
@@ -282,18 +283,9 @@
 
 func (p *Links) handleRequest(ctx context.Context, l *link, forwarded *oriolemessage.Request) {
 	l.unanswered.Add(1)
-	reply := func(resp oriole.Response) {
-		l.stopServing(forwarded.Number)
-		var parts []*oriolemessage.Frame
-		parts, resp.Body = splitBody(forwarded.Number, resp.Body)
-		if resp.Leaving != (oriole.Incarnation{}) {
-			parts = append(parts, &oriolemessage.Frame{Departure: oriolemessage.FromDeparture(resp.Leaving)})
-		}
-		if !l.offerAll(parts, &oriolemessage.Frame{Response: oriolemessage.FromResponse(forwarded.Number, forwarded.Id, resp)}) {
-			p.cfg.Metrics.Add("link_ring_full", 1)
-			l.unanswered.Add(-1)
-		}
-	}
+	ctx, cancel := context.WithCancel(ctx)
+	l.startServing(forwarded.Number, cancel)
+	reply := func(resp oriole.Response) { p.respond(ctx, l, forwarded, resp) }
 	body, complete := l.assemble(forwarded.Number, forwarded.Body)
 	forwarded.Body = body
 	r, err := forwarded.ToRequest(p.cfg.Timers.Now())
@@ -305,11 +297,33 @@
 		reply(oriole.NotRunResponse(oriole.ReasonBadResponse))
 		return
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	l.startServing(forwarded.Number, cancel)
 	p.cfg.Receiver.HandleRequest(ctx, r, reply)
 }
 
+// respond queues the response to a peer's request. ctx ends with the link, or when
+// the peer cancels the request.
+func (p *Links) respond(ctx context.Context, l *link, forwarded *oriolemessage.Request, resp oriole.Response) {
+	var parts []*oriolemessage.Frame
+	parts, resp.Body = splitBody(forwarded.Number, resp.Body)
+	if resp.Leaving != (oriole.Incarnation{}) {
+		parts = append(parts, &oriolemessage.Frame{Departure: oriolemessage.FromDeparture(resp.Leaving)})
+	}
+	rest := l.offerAll(append(parts, &oriolemessage.Frame{Response: oriolemessage.FromResponse(forwarded.Number, forwarded.Id, resp)}))
+	if rest == nil {
+		l.stopServing(forwarded.Number)
+		return
+	}
+	p.cfg.Metrics.Add("link_ring_full", 1)
+	// The caller is a duty that must not block. The wait is short: each write
+	// makes room, or ends the link after writeTimeout.
+	go func() {
+		defer l.stopServing(forwarded.Number)
+		if err := l.putAll(ctx, rest); err != nil {
+			l.unanswered.Add(-1)
+		}
+	}()
+}
+
 const (
 	// finishInterval is how often Finish checks for responses that are not written.
 	finishInterval = 20 * time.Millisecond
@@ -321,17 +335,10 @@
 // Finish waits until the responses to all requests of peers were handed to their
 // connections, or the connections have ended. It then closes these connections
 // with a handshake: a process that exits resets a connection with unread frames,
-// and the peer could lose a response.
+// and the peer could lose a response. The last oriolestop.CloseTimeout before ctx's
+// deadline is left for the handshake; requests not answered by then are an error.
 func (p *Links) Finish(ctx context.Context) error {
-	ticks, stop := p.cfg.Timers.Subscribe(finishInterval)
-	defer stop()
-	for n := p.unanswered(); n > 0; n = p.unanswered() {
-		select {
-		case <-ticks:
-		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "%d requests of peers not answered", n)
-		}
-	}
+	err := p.awaitResponses(ctx)
 	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
 	for _, closed := range p.closeAccepted() {
@@ -339,7 +346,25 @@
 		case <-closed:
 		case <-ctx.Done():
 			// The responses were handed to the connections.
-			return nil
+			return err
+		}
+	}
+	return err
+}
+
+func (p *Links) awaitResponses(ctx context.Context) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-oriolestop.CloseTimeout))
+		defer cancel()
+	}
+	ticks, stop := p.cfg.Timers.Subscribe(finishInterval)
+	defer stop()
+	for n := p.unanswered(); n > 0; n = p.unanswered() {
+		select {
+		case <-ticks:
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d requests of peers not answered", n)
 		}
 	}
 	return nil
