A gateway that is listed again counts by what was heard of it

The detector forgot when it had heard from it. It now forgets gateways that are neither listed nor heard.

--- a/pkg/oriole/orioleliveness/detector.go
+++ b/pkg/oriole/orioleliveness/detector.go
@@ -87,12 +87,6 @@
 func (d *Detector) SetMembers(members map[oriole.GatewayID]oriole.Member) {
 	d.members = maps.Clone(members)
 	delete(d.members, d.self.ID)
-	for id := range d.lastHeard {
-		if _, listed := d.members[id]; !listed {
-			delete(d.lastHeard, id)
-			delete(d.reports, id)
-		}
-	}
 }
 
 // RecordFrame records the arrival of a frame from the gateway.
@@ -142,6 +136,7 @@
 // Tick updates the set of live gateways and the monitors. It returns the live
 // gateways, this one included; the caller must not modify the map.
 func (d *Detector) Tick(now time.Time) map[oriole.GatewayID]bool {
+	d.forgetUnlisted(now)
 	alive := map[oriole.GatewayID]bool{d.self.ID: true}
 	monitorHeard := d.isMonitor(now)
 	for id := range d.members {
@@ -171,6 +166,17 @@
 	return alive
 }
 
+// forgetUnlisted drops what is known of gateways that are not listed and not heard. One
+// that is heard may be listed again.
+func (d *Detector) forgetUnlisted(now time.Time) {
+	for id := range d.lastHeard {
+		if _, listed := d.members[id]; !listed && !d.heardRecently(now, id) {
+			delete(d.lastHeard, id)
+			delete(d.reports, id)
+		}
+	}
+}
+
 // addReachable marks the gateways as alive that the monitor's report does not
 // list as unreachable.
 func (d *Detector) addReachable(alive map[oriole.GatewayID]bool, r report) {
--- a/pkg/oriole/orioleliveness/detector_test.go
+++ b/pkg/oriole/orioleliveness/detector_test.go
@@ -257,3 +257,19 @@
 	c.run(3 * time.Second)
 	is.True(node.Failed("vm-2.a"))
 }
+
+// TestRelistedGatewayHasNotFailed guards against taking a gateway for one that has failed
+// because the directory did not list it for a moment.
+func TestRelistedGatewayHasNotFailed(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(3)
+	node := c.nodes["vm-0.a"]
+	c.run(2 * time.Second)
+	without := maps.Clone(c.members)
+	delete(without, "vm-1.a")
+	node.SetMembers(without)
+	node.Tick(c.now)
+	node.SetMembers(c.members)
+	node.Tick(c.now)
+	is.True(!node.Failed("vm-1.a"))
+}
