Restored directories: held upstreams, drained gateways, lost entries, later eras

- An upstream that had left, and was held because a restored list had it, was used for good if a second list within 4 s no longer had it.
A list now replaces what is held.
- A gateway that had withdrawn came back as ready if the restored directory listed it.
Gateways that drained are remembered for a minute, and a draining gateway that finds its entry again removes it again.
- A gateway whose entry was lost before its first list never registered again.
Each list that lacks its own entry now has it registered, once it had been before.
- An update of a later era made its receiver watch from a revision of the old one, which may take the whole timeout, instead of listing at once.

--- a/internal/oriolerouter/duties.go
+++ b/internal/oriolerouter/duties.go
@@ -42,9 +42,7 @@
 		select {
 		case <-d.router.announceRequested:
 		case <-d.router.drainStarted:
-			d.withdraw(ctx)
-			<-ctx.Done()
-			return ctx.Err()
+			return d.stayWithdrawn(ctx)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -73,6 +71,19 @@
 	}
 }
 
+// stayWithdrawn removes the gateway's entry, again when the directory lists it once
+// more.
+func (d *announceDuty) stayWithdrawn(ctx context.Context) error {
+	for {
+		d.withdraw(ctx)
+		select {
+		case <-d.router.announceRequested:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // withdraw removes the gateway's entry. Until it succeeds, peers know of the drain
 // through the links, and the next gateway on this VM replaces the entry.
 func (d *announceDuty) withdraw(ctx context.Context) {
--- a/internal/oriolerouter/oriolestate/follow.go
+++ b/internal/oriolerouter/oriolestate/follow.go
@@ -186,6 +186,8 @@
 	case err != nil:
 		d.tracker.cfg.Log.WithError(err).WithField("feed", d.kind).Warn("directory update rejected")
 		d.watch(ctx)
+	case !feed.Reset && version.Era != d.version.Era:
+		d.listed = false
 	case !feed.Reset && d.version.Before(oriole.Version{Era: feed.Era, Revision: feed.PrevVersion}):
 		// An earlier update was lost.
 		d.watch(ctx)
--- a/internal/oriolerouter/oriolestate/restored.go
+++ b/internal/oriolerouter/oriolestate/restored.go
@@ -1,6 +1,7 @@
 package oriolestate
 
 import (
+	"maps"
 	"time"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
@@ -13,8 +14,12 @@
 	// writers have written them again, and those of upstreams that are gone have
 	// expired: that takes three heartbeats, of about a second each.
 	restoredHold = 4 * time.Second
-	// leftRetention is how long an upstream that has left is remembered, in case
-	// the directory comes back from a copy that still lists it.
+	// rewriteTime is how long upstreams that a restored directory lacks are kept:
+	// theirs are written again within about two seconds of its return, which was
+	// noticed a moment later.
+	rewriteTime = 1800 * time.Millisecond
+	// leftRetention is how long an upstream that has left, or a gateway that drained,
+	// is remembered, in case the directory comes back from a copy that lists it.
 	leftRetention = time.Minute
 )
 
@@ -32,7 +37,6 @@
 
 func (u restoredUpdate) apply(_ *oriole.ClusterState, b *bookkeeping) {
 	b.restoredAt[u.kind] = b.now
-	b.lastFailure = b.now
 }
 
 // recentlyRestored reports whether a list of the kind may be out of date because
@@ -57,14 +61,20 @@
 	b.left[u.ID] = leftUpstream{u.StartedAt, u.Draining, b.now}
 }
 
+// recordDrained remembers the draining gateways that a new list drops.
+func (b *bookkeeping) recordDrained(known, listed map[oriole.GatewayID]oriole.Member) {
+	for id, m := range known {
+		if _, found := listed[id]; !found && m.Draining {
+			b.drained[id] = b.now
+		}
+	}
+}
+
 // sweepRestored takes what the directory still lists, and drops what it still lacks,
 // once restoredHold has passed.
 func (b *bookkeeping) sweepRestored(state *oriole.ClusterState) {
-	for id, left := range b.left {
-		if b.now.Sub(left.at) > leftRetention {
-			delete(b.left, id)
-		}
-	}
+	maps.DeleteFunc(b.left, func(_ oriole.ServerID, left leftUpstream) bool { return b.now.Sub(left.at) > leftRetention })
+	maps.DeleteFunc(b.drained, func(_ oriole.GatewayID, at time.Time) bool { return b.now.Sub(at) > leftRetention })
 	if len(b.held) > 0 && !b.recentlyRestored(oriolemessage.KindUpstreams) {
 		for _, u := range b.held {
 			b.setUpstream(state, u)
--- a/internal/oriolerouter/oriolestate/tracker.go
+++ b/internal/oriolerouter/oriolestate/tracker.go
@@ -47,8 +47,8 @@
 	Log       log.Interface
 	// BroadcastUpdate sends a directory update to all peers.
 	BroadcastUpdate func(*oriolemessage.Feed)
-	// RequestAnnounce is called when the directory was restored and no longer lists
-	// this gateway. It must not block.
+	// RequestAnnounce is called when the directory no longer lists this gateway, or
+	// lists it again although it drains. It must not block.
 	RequestAnnounce func()
 	// Announced is closed once the directory lists this gateway.
 	Announced <-chan struct{}
@@ -63,6 +63,19 @@
 	RequestAssignment func(oriole.ServiceName, oriole.GatewayID)
 }
 
+// announced reports whether this gateway has been registered.
+func (c *Config) announced() bool {
+	if c.Announced == nil {
+		return true
+	}
+	select {
+	case <-c.Announced:
+		return true
+	default:
+		return false
+	}
+}
+
 // Tracker tracks the state of the cluster as this gateway knows it. It
 // implements suture.Service.
 type Tracker struct {
@@ -131,6 +144,8 @@
 	// that the directory's last list lacks and that are not dropped yet.
 	unlistedZones    map[oriole.ZoneName]bool
 	unlistedGateways map[oriole.GatewayID]bool
+	// drained holds when gateways that drained were removed from the directory.
+	drained map[oriole.GatewayID]time.Time
 }
 
 func newBookkeeping(cfg Config) *bookkeeping {
@@ -148,6 +163,7 @@
 
 		unlistedZones:    make(map[oriole.ZoneName]bool),
 		unlistedGateways: make(map[oriole.GatewayID]bool),
+		drained:          make(map[oriole.GatewayID]time.Time),
 	}
 }
 
--- a/internal/oriolerouter/oriolestate/tracker_test.go
+++ b/internal/oriolerouter/oriolestate/tracker_test.go
@@ -208,6 +208,7 @@
 	version oriole.Version
 	entries []oriole.Change[*oriole.Config]
 	lists   int
+	watches int
 }
 
 func (f *restoredFeed) List(context.Context) ([]oriole.Change[*oriole.Config], oriole.Version, error) {
@@ -216,6 +217,7 @@
 }
 
 func (f *restoredFeed) Watch(_ context.Context, after oriole.Version, _ time.Duration) ([]oriole.Change[*oriole.Config], oriole.Version, error) {
+	f.watches++
 	if after.Era != f.version.Era {
 		return nil, after, oriole.ErrHistoryGone
 	}
@@ -279,6 +281,7 @@
 	ctx := context.Background()
 	d.applyRelayed(ctx, relayedConfig(false, 2, 149, 150, 13))
 	is.True(!d.listed)
+	is.Equal(feed.watches, 0) // a watch from the old revision could wait for its whole timeout
 	d.list(ctx)
 	is.Equal(feed.lists, 1)
 	is.Equal(inForce(), oriole.ConfigVersion(14))
@@ -414,7 +417,7 @@
 	old, next, draining := member("a", 1), member("a", 2), member("b", 1)
 	dead := member("c", 1)
 	r := newRestoredTracker()
-	r.apply(newGatewayUpdate(true, []oriole.Change[oriole.Member]{change(next), change(draining), change(dead)}))
+	r.apply(newGatewayUpdate(true, []oriole.Change[oriole.Member]{change(next), change(draining), change(dead), change(r.b.cfg.Self)}))
 	draining.Draining = true
 	r.apply(peerUpdate{draining}, livenessUpdate{map[oriole.GatewayID]bool{next.ID: true, draining.ID: true}})
 	is.Equal(r.announced, 0)
@@ -454,3 +457,50 @@
 	_, listed := state.Gateways[peer.ID]
 	is.True(!listed)
 }
+
+// TestHeldUpstreamOfEarlierListStaysOut guards against using an upstream that left because
+// the first of two lists after a restore had it.
+func TestHeldUpstreamOfEarlierListStaysOut(t *testing.T) {
+	is := is.New(t)
+	r := newRestoredTracker()
+	r.apply(upstreamList(upstreamEntry("u", false)))
+	r.after(removalDelay)
+	r.apply(upstreamList())
+	r.apply(restoredUpdate{oriolemessage.KindUpstreams}, upstreamList(upstreamEntry("u", false)), upstreamList())
+	r.after(restoredHold)
+	is.Equal(len(r.state.Upstreams), 0)
+}
+
+// TestWithdrawnGatewayStaysDraining guards against using a gateway that is being stopped
+// because a restored directory lists it again.
+func TestWithdrawnGatewayStaysDraining(t *testing.T) {
+	is := is.New(t)
+	peer := oriole.Member{ID: "peer.1", VM: "peer"}
+	entry := []oriole.Change[oriole.Member]{{Name: "peer", Value: peer}}
+	for _, withdrawn := range []update{newGatewayUpdate(false, []oriole.Change[oriole.Member]{{Name: "peer", Removed: true}}), newGatewayUpdate(true, nil)} {
+		r := newRestoredTracker()
+		r.apply(newGatewayUpdate(true, entry))
+		draining := peer
+		draining.Draining = true
+		r.apply(peerUpdate{draining}, withdrawn)
+		is.Equal(len(r.state.Gateways), 1)
+		r.apply(restoredUpdate{oriolemessage.KindGateways}, newGatewayUpdate(true, entry))
+		is.True(r.state.Gateways[peer.ID].Draining)
+	}
+}
+
+// TestLostEntryIsRegisteredAgain guards against a gateway that stays unlisted because its
+// entry was lost before its first list, and one that stays listed although it drains.
+func TestLostEntryIsRegisteredAgain(t *testing.T) {
+	is := is.New(t)
+	r := newRestoredTracker()
+	r.apply(newGatewayUpdate(true, nil))
+	is.Equal(r.announced, 1)
+
+	self := r.b.cfg.Self
+	self.Draining = true
+	r.apply(peerUpdate{self}, newGatewayUpdate(true, nil))
+	is.Equal(r.announced, 1)
+	r.apply(restoredUpdate{oriolemessage.KindGateways}, newGatewayUpdate(true, []oriole.Change[oriole.Member]{{Name: self.VM, Value: r.b.cfg.Self}}))
+	is.Equal(r.announced, 2)
+}
--- a/internal/oriolerouter/oriolestate/update.go
+++ b/internal/oriolerouter/oriolestate/update.go
@@ -41,6 +41,8 @@
 // reset those that are not listed, are marked as missing.
 func (u upstreamUpdate) apply(state *oriole.ClusterState, b *bookkeeping) {
 	if u.reset {
+		// This list replaces the one by which upstreams are held.
+		clear(b.held)
 		listed := make(map[oriole.ServerID]bool)
 		for _, change := range u.changes {
 			listed[oriole.ServerID(change.Name)] = true
@@ -127,7 +129,7 @@
 // removalDelay, and drops departed ones after departedRetention. It also updates
 // whether the directory is loaded.
 func (b *bookkeeping) sweep(state *oriole.ClusterState) {
-	if b.now.Sub(b.lastFailure) >= removalDelay {
+	if b.now.Sub(b.lastFailure) >= removalDelay && b.now.Sub(b.restoredAt[oriolemessage.KindUpstreams]) >= rewriteTime {
 		for id := range b.missing {
 			if u, known := state.Upstreams[id]; known {
 				b.markDeparted(state, u)
@@ -225,13 +227,15 @@
 		self := b.cfg.Self
 		self.Draining = known[self.ID].Draining
 		gateways[self.ID] = self
+		b.recordDrained(known, gateways)
 	}
 	selfListed := false
 	for _, change := range u.changes {
 		selfListed = selfListed || (!change.Removed && change.Value.ID == b.cfg.Self.ID)
 		b.setGateway(gateways, known, change)
 	}
-	if restored && !selfListed {
+	draining := gateways[b.cfg.Self.ID].Draining
+	if (u.reset && !selfListed && !draining && b.cfg.announced()) || (restored && selfListed && draining) {
 		b.cfg.RequestAnnounce()
 	}
 	b.listed["gateways"] = true
@@ -250,12 +254,16 @@
 		if !change.Removed && id.Supersedes(next.ID) {
 			return
 		}
+		if m.Draining {
+			b.drained[id] = b.now
+		}
 		delete(gateways, id)
 	}
 	if change.Removed || next.VM == b.cfg.Self.VM {
 		return
 	}
-	next.Draining = next.Draining || known[next.ID].Draining
+	_, drained := b.drained[next.ID]
+	next.Draining = next.Draining || known[next.ID].Draining || drained
 	delete(b.unlistedGateways, next.ID)
 	gateways[next.ID] = next
 }
