A leader that settles an era asks its peers for their reports

Cause: before a leader settles an era, every peer must report that no other has led since. Peers send a heartbeat only if nothing else has been written on the link, and under load something always is. The leader waited its 1.5 s, assumed an unknown leader and moved nothing for a leader lease and a lease.

Change: the leader asks for the reports, every 0.2 s until it has settled, and every second while it awaits unknown leaders.

--- a/internal/oriolemessage/message_gen.go
+++ b/internal/oriolemessage/message_gen.go
@@ -193,6 +193,9 @@
 	// Response corresponds to the JSON schema field "reply".
 	Response *Response `json:"reply,omitempty"`
 
+	// HeartbeatRequest corresponds to the JSON schema field "report".
+	HeartbeatRequest *HeartbeatRequest `json:"report,omitempty"`
+
 	// Suspect corresponds to the JSON schema field "suspect".
 	Suspect *Suspect `json:"suspect,omitempty"`
 
@@ -247,6 +250,13 @@
 	StoreAge int64 `json:"storeage"`
 }
 
+// HeartbeatRequest asks the receiver for its heartbeat, which it otherwise does
+// not send while other frames show that it is alive.
+type HeartbeatRequest struct {
+	// Service is the service whose leader asks.
+	Service string `json:"service"`
+}
+
 // Hello is the first message on a link. It identifies the gateway that opened the
 // link.
 type Hello struct {
--- a/internal/oriolerouter/orioleleader/leader.go
+++ b/internal/oriolerouter/orioleleader/leader.go
@@ -54,6 +54,8 @@
 	// LeaseTimes holds the lease times; Self and Service are filled in for each
 	// service.
 	LeaseTimes orioleassign.Config
+	// AskPeers asks all peers for their heartbeats. It must not block.
+	AskPeers func(service oriole.ServiceName)
 	// Publish sends peers the assignment of a service that this gateway leads.
 	// previous is the assignment that they have, or nil if unknown.
 	Publish func(previous *oriole.Assignment, assignment oriole.Assignment)
@@ -256,6 +258,8 @@
 			l.cfg.State.UpdateAssignment(ctx, *effect.Publish)
 			l.cfg.Publish(previous, *effect.Publish)
 			d.published[service] = effect.Publish
+		case effect.AskPeers:
+			l.cfg.AskPeers(service)
 		case effect.Log != nil:
 			l.log(service, effect.Log)
 		}
--- a/internal/oriolerouter/oriolelink/heartbeat.go
+++ b/internal/oriolerouter/oriolelink/heartbeat.go
@@ -114,6 +114,12 @@
 	p.Broadcast(&oriolemessage.Frame{Heartbeat: heartbeat})
 }
 
+// SendHeartbeat sends a heartbeat to the peer immediately.
+func (p *Links) SendHeartbeat(to oriole.GatewayID) {
+	_, heartbeat := p.tick(p.cfg.Timers.Now())
+	p.Send(to, &oriolemessage.Frame{Heartbeat: heartbeat})
+}
+
 // recordReport records which gateways the peer reports as unreachable.
 func (p *Links) recordReport(from oriole.GatewayID, heartbeat *oriolemessage.Heartbeat) {
 	p.mu.Lock()
--- a/internal/oriolerouter/receiver.go
+++ b/internal/oriolerouter/receiver.go
@@ -43,6 +43,8 @@
 	switch {
 	case frame.Heartbeat != nil:
 		v.handleHeartbeat(ctx, from, frame.Heartbeat)
+	case frame.HeartbeatRequest != nil:
+		r.links.SendHeartbeat(from)
 	case frame.Assignment != nil:
 		a, err := frame.Assignment.ToAssignment()
 		if err != nil {
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -174,7 +174,7 @@
 	}, spec)
 	r.leader = orioleleader.New(orioleleader.Config{
 		Self: r.self.ID, State: r.tracker, Store: r.platform.Directory, Leaser: r.platform.Leaser,
-		Timers: orioletimer.NewBootClock(r.timers), Metrics: r.metrics, Log: r.log, Publish: r.publishAssignment,
+		Timers: orioletimer.NewBootClock(r.timers), Metrics: r.metrics, Log: r.log, Publish: r.publishAssignment, AskPeers: r.askPeers,
 		LeaseTimes: orioleassign.Config{
 			LeaseTTL: leaseTTL, RenewInterval: renewInterval, LeaderLease: leaderLease, MoveLease: moveLease, MaxClockDrift: maxClockDrift, MaxCallDelay: maxCallDelay,
 		},
@@ -300,6 +300,11 @@
 	r.links.Send(leader, &oriolemessage.Frame{AssignmentRequest: &oriolemessage.AssignmentRequest{Service: string(service)}})
 }
 
+// askPeers asks all peers for their heartbeats on behalf of a service's leader.
+func (r *Router) askPeers(service oriole.ServiceName) {
+	r.links.Broadcast(&oriolemessage.Frame{HeartbeatRequest: &oriolemessage.HeartbeatRequest{Service: string(service)}})
+}
+
 // publishAssignment broadcasts an assignment of which this gateway is the
 // leader. If previous is of the same term or the one before, peers have it, and
 // only the changes since then are sent: a full broadcast of a large assignment
--- a/pkg/oriole/orioleassign/effect.go
+++ b/pkg/oriole/orioleassign/effect.go
@@ -18,6 +18,8 @@
 	Probe   *LeaseCall
 	Publish *oriole.Assignment
 	Log     *LogEvent
+	// AskPeers requests that all peers report their terms at once.
+	AskPeers bool
 }
 
 // Read requests the stored assignment; the result is passed to
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -158,7 +158,9 @@
 	// settling is set while this leader is to write its assignment as the first
 	// one of the store's era, replacing the version settleFrom. settlingTerm is
 	// the term of the last such write.
-	settling     bool
+	settling bool
+	// nextAsk is when the peers may next be asked for their terms.
+	nextAsk      time.Time
 	settleFrom   oriole.Version
 	settlingTerm uint64
 	// firstFence is the fencing token with which this leader has settled an era,
--- a/pkg/oriole/orioleassign/restore.go
+++ b/pkg/oriole/orioleassign/restore.go
@@ -20,6 +20,11 @@
 	// statementTimeout is how long a leader waits for the other gateways to state
 	// that none has replaced it, before it settles an era without that.
 	statementTimeout = 1500 * time.Millisecond
+	// askInterval is how often the other gateways are asked for their reports, which
+	// do not count if they come too early.
+	askInterval = 200 * time.Millisecond
+	// waitAskInterval is the same while unknown leaders are awaited.
+	waitAskInterval = time.Second
 )
 
 // eraStart returns the lowest term and the lowest fencing token of an era whose
@@ -88,6 +93,7 @@
 	}
 	unchanged := m.noneLedSince(m.confirmedAt)
 	if !unchanged && now.Sub(m.eraSince) < statementTimeout {
+		m.askPeers(now, askInterval)
 		return
 	}
 	next := m.current.Clone()
@@ -105,6 +111,15 @@
 	m.effects = append(m.effects, Effect{Write: &Write{Assignment: next, Expected: m.settleFrom}})
 }
 
+// askPeers has the peers report their terms, at most once per interval.
+func (m *Machine) askPeers(now time.Time, interval time.Duration) {
+	if m.nextAsk.After(now) {
+		return
+	}
+	m.nextAsk = now.Add(interval)
+	m.effects = append(m.effects, Effect{AskPeers: true})
+}
+
 // laterEra returns the term and the fencing token with which an assignment
 // continues in the era.
 func laterEra(a oriole.Assignment, era uint64) (uint64, oriole.Fence) {
@@ -141,7 +156,11 @@
 
 // endUnknownLeaders ends the wait for unknown leaders once it is over.
 func (m *Machine) endUnknownLeaders(now time.Time) {
-	if m.unknownLeadersUntil.IsZero() || m.awaitsUnknownLeaders(now) {
+	if m.unknownLeadersUntil.IsZero() {
+		return
+	}
+	if m.awaitsUnknownLeaders(now) {
+		m.askPeers(now, waitAskInterval)
 		return
 	}
 	m.unknownLeadersUntil = time.Time{}
--- a/pkg/oriole/orioleassign/restore_test.go
+++ b/pkg/oriole/orioleassign/restore_test.go
@@ -522,3 +522,39 @@
 	x.read(m, x.older, oriole.Version{Era: x.unsettled.Era, Revision: 7})
 	x.True(m.Leading())
 }
+
+// TestSettlingLeaderAsksItsPeers guards against waiting for reports that peers don't send
+// because other frames show that they are alive.
+func TestSettlingLeaderAsksItsPeers(t *testing.T) {
+	x := newTakeover(t)
+	asks := func() (n, writes int) {
+		for _, e := range x.old.TakeEffects() {
+			if e.AskPeers {
+				n++
+			}
+			if e.Write != nil {
+				writes++
+			}
+		}
+		return n, writes
+	}
+	asks()
+	x.old.ReadDone(x.now, x.now, x.old.current.Clone(), oriole.Version{Era: x.old.version.Era + 1}, false, nil)
+	n, writes := asks()
+	x.Equal(n, 1)
+	x.Equal(writes, 0)
+	x.old.Tick(x.now.Add(askInterval - time.Millisecond))
+	n, _ = asks()
+	x.Equal(n, 0)
+	x.now = x.now.Add(statementDelay)
+	x.old.Tick(x.now)
+	n, _ = asks()
+	x.Equal(n, 1)
+	for g := range x.old.state.Gateways {
+		x.old.SetPeerMinRenewTerm(x.now, g, x.old.current.Term)
+	}
+	x.old.Tick(x.now)
+	n, writes = asks()
+	x.Equal(n, 0)
+	x.Equal(writes, 1)
+}
