A gateway that was paused judges nobody until it has read its sockets

A gateway that was paused for 2 s gave up its idempotent requests as "unknown, connection", although the responses had arrived meanwhile: its heartbeat duty ticked before the readers ran, and every peer and link counted as silent.

The failure detector takes a tick that comes more than 600 ms after the last one for a stall of its own, and for one heartbeat interval declares nobody failed, and no link unresponsive. Gateways that were not alive before stay so. A tick that is late like the one before starts no new interval.

The test of a withdrawn dispatcher shares its setup with the new one; what it checks is unchanged.

--- a/internal/oriolerouter/oriolelink/heartbeat.go
+++ b/internal/oriolerouter/oriolelink/heartbeat.go
@@ -122,10 +122,13 @@
 }
 
 // failUnresponsive fails the idempotent requests that wait for unresponsive
-// peers.
+// peers. After a stall of this gateway, responses may wait in its sockets.
 func (p *Links) failUnresponsive(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.liveness.Stalled(now) {
+		return
+	}
 	for id, l := range p.links {
 		if l.unresponsive(now) || p.liveness.Failed(id) {
 			l.failIdempotent()
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -186,7 +186,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l, now := p.links[to], p.cfg.Timers.Now()
-	if l == nil || l.unresponsive(now) || (!p.liveness.HeardRecently(now, to) && !p.liveness.Alive(to)) {
+	if l == nil || (l.unresponsive(now) && !p.liveness.Stalled(now)) || (!p.liveness.HeardRecently(now, to) && !p.liveness.Alive(to)) {
 		return nil
 	}
 	return l
--- a/internal/oriolerouter/oriolelink/links_test.go
+++ b/internal/oriolerouter/oriolelink/links_test.go
@@ -148,16 +148,12 @@
 	is.True(forwarder.Reachable(dispatcherMember.ID))
 }
 
-// TestWithdrawnDispatcherKeepsIdempotentRequests guards against giving up the requests
-// that run at a gateway which drains, once the directory no longer lists it.
-func TestWithdrawnDispatcherKeepsIdempotentRequests(t *testing.T) {
-	is := is.New(t)
-	_, dispatcherMember, dispatcherReceiver := startLinks(t, "dispatcher.1")
-	forwarder, forwarderMember, _ := startLinks(t, "forwarder.1")
-	wanted := map[oriole.GatewayID]oriole.Member{dispatcherMember.ID: dispatcherMember}
-	forwarder.SetMembers(map[oriole.GatewayID]oriole.Member{dispatcherMember.ID: dispatcherMember, forwarderMember.ID: forwarderMember}, wanted)
+// forwardIdempotent starts an idempotent request to a dispatcher, and returns the
+// function that answers it, and the response.
+func forwardIdempotent(t *testing.T, forwarder *Links, dispatcher oriole.Member, receiver frameReceiver) (func(oriole.Response), <-chan oriole.Response) {
+	t.Helper()
 	for range 500 {
-		if forwarder.Reachable(dispatcherMember.ID) {
+		if forwarder.Reachable(dispatcher.ID) {
 			break
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -165,14 +161,26 @@
 	responses := make(chan oriole.Response, 1)
 	go func() {
 		request := oriole.Request{ID: "r", Pool: oriole.PoolID{Service: "s"}, Method: "GET", Idempotent: true, Deadline: time.Now().Add(time.Minute)}
-		responses <- forwarder.Forward(context.Background(), dispatcherMember.ID, request)
+		responses <- forwarder.Forward(context.Background(), dispatcher.ID, request)
 	}()
-	var reply func(oriole.Response)
 	select {
-	case reply = <-dispatcherReceiver.replies:
+	case reply := <-receiver.replies:
+		return reply, responses
 	case resp := <-responses:
 		t.Fatal(resp.Reason)
+		return nil, nil
 	}
+}
+
+// TestWithdrawnDispatcherKeepsIdempotentRequests guards against giving up the requests
+// that run at a gateway which drains, once the directory no longer lists it.
+func TestWithdrawnDispatcherKeepsIdempotentRequests(t *testing.T) {
+	is := is.New(t)
+	_, dispatcherMember, dispatcherReceiver := startLinks(t, "dispatcher.1")
+	forwarder, forwarderMember, _ := startLinks(t, "forwarder.1")
+	wanted := map[oriole.GatewayID]oriole.Member{dispatcherMember.ID: dispatcherMember}
+	forwarder.SetMembers(map[oriole.GatewayID]oriole.Member{dispatcherMember.ID: dispatcherMember, forwarderMember.ID: forwarderMember}, wanted)
+	reply, responses := forwardIdempotent(t, forwarder, dispatcherMember, dispatcherReceiver)
 
 	forwarder.SetMembers(map[oriole.GatewayID]oriole.Member{forwarderMember.ID: forwarderMember}, nil)
 	forwarder.tick(time.Now())
@@ -181,6 +189,24 @@
 	is.Equal((<-responses).Outcome, oriole.OutcomeAnswered)
 }
 
+// TestPausedForwarderKeepsIdempotentRequests guards against giving up requests after
+// a pause of this gateway, although the responses wait in its sockets.
+func TestPausedForwarderKeepsIdempotentRequests(t *testing.T) {
+	is := is.New(t)
+	_, dispatcherMember, dispatcherReceiver := startLinks(t, "dispatcher.1")
+	forwarder, _, _ := startLinks(t, "forwarder.1")
+	members := map[oriole.GatewayID]oriole.Member{dispatcherMember.ID: dispatcherMember}
+	forwarder.SetMembers(members, members)
+	reply, responses := forwardIdempotent(t, forwarder, dispatcherMember, dispatcherReceiver)
+
+	forwarder.tick(time.Now())
+	resumed := time.Now().Add(5 * time.Second)
+	forwarder.tick(resumed)
+	forwarder.failUnresponsive(resumed)
+	reply(oriole.Response{Outcome: oriole.OutcomeAnswered, Status: 200})
+	is.Equal((<-responses).Outcome, oriole.OutcomeAnswered)
+}
+
 func (p *Links) linkCount() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/oriole/orioleliveness/detector.go
+++ b/pkg/oriole/orioleliveness/detector.go
@@ -57,6 +57,11 @@
 	monitorSince time.Time
 	monitorHeard time.Time
 	fullMesh     bool
+	// lastTick is the time of the last Tick, lastTickLate whether it came late, and
+	// graceUntil the time until which no gateway is judged after a late one.
+	lastTick     time.Time
+	lastTickLate bool
+	graceUntil   time.Time
 }
 
 // report lists the gateways that its sender has not heard from recently. It
@@ -139,9 +144,11 @@
 	return false
 }
 
-// Tick updates the set of live gateways and the monitors. It returns the live
-// gateways, this one included; the caller must not modify the map.
+// Tick updates the set of live gateways and the monitors. After a stall of this
+// gateway the others stay alive. It returns the live gateways, this one included;
+// the caller must not modify the map.
 func (d *Detector) Tick(now time.Time) map[oriole.GatewayID]bool {
+	d.recordTick(now)
 	alive := map[oriole.GatewayID]bool{d.self.ID: true}
 	monitorHeard := d.isMonitor(now)
 	for id := range d.members {
@@ -158,12 +165,12 @@
 	}
 	if monitorHeard {
 		d.monitorHeard = now
-	} else if now.Sub(d.monitorHeard) <= monitorLossPeriod {
-		for id := range d.alive {
-			// A monitor that is alive would have been heard from.
-			if _, listed := d.members[id]; listed && !d.reports[id].monitor {
-				alive[id] = true
-			}
+	}
+	stalled, monitorsLost := d.Stalled(now), !monitorHeard && now.Sub(d.monitorHeard) <= monitorLossPeriod
+	for id := range d.alive {
+		// When the monitors are lost, one that is alive would have been heard from.
+		if _, listed := d.members[id]; listed && (stalled || (monitorsLost && !d.reports[id].monitor)) {
+			alive[id] = true
 		}
 	}
 	d.alive = alive
@@ -217,13 +224,15 @@
 }
 
 // Report returns this gateway's report: whether it is a monitor, and if so which
-// gateways it has not heard from recently.
+// gateways it has not heard from recently. After a stall of its own, these are only
+// gateways that were not alive before.
 func (d *Detector) Report(now time.Time) (monitor bool, unreachable []oriole.GatewayID) {
 	if !d.isMonitor(now) {
 		return false, nil
 	}
+	stalled := d.Stalled(now)
 	for id := range d.members {
-		if !d.heardRecently(now, id) {
+		if !d.heardRecently(now, id) && !(stalled && d.alive[id]) {
 			unreachable = append(unreachable, id)
 		}
 	}
