A closed port does not show that a draining upstream has ended

Cause: two refused connections count as the end of an upstream's incarnation, and its ranges are given on at once. That holds for a crash. One that leaves may close its port first and then complete its requests.

Change: a refused connection to an upstream that drains shows that it can't be reached, not that it has ended: a release, or the end of its lease, has to.

--- a/pkg/oriole/orioleassign/call.go
+++ b/pkg/oriole/orioleassign/call.go
@@ -424,6 +424,7 @@
 // updateHealth decides from the result of a call whether the upstream is down
 // or has ended. A single call that was sent but not answered does not show that
 // it is down: the upstream may execute calls late and serve requests meanwhile.
+// One that drains may close its port before its requests have ended.
 // A release that was not answered never counts, since it waits for running
 // requests.
 func (m *Machine) updateHealth(now time.Time, c call, st *upstreamStatus, err error) {
@@ -436,8 +437,10 @@
 	case errors.Is(err, oriole.ErrConnClosed), errors.Is(err, oriole.ErrExpired), c.kind == callRelease && mayHaveArrived(err):
 		return
 	case errors.Is(err, oriole.ErrConnRefused):
-		st.refusals++
 		st.connectFailures++
+		if u, found := m.upstream(c.incarnation); !found || !u.Draining {
+			st.refusals++
+		}
 	case errors.Is(err, oriole.ErrNotSent):
 		st.connectFailures++
 	default:
