--- a/internal/oriolerouter/duties.go
+++ b/internal/oriolerouter/duties.go
@@ -49,26 +49,14 @@
 	}
 }
 
-// announce registers the gateway unless it drains. It retries until it succeeds.
+// announce registers the gateway unless it drains.
 func (d *announceDuty) announce(ctx context.Context) {
 	r := d.router
-	for ctx.Err() == nil && !r.draining.Load() {
-		err := r.platform.Directory.Announce(ctx, r.self)
-		if err == nil {
-			r.log.Info("announced")
-			d.once.Do(func() { close(r.announced) })
-			return
-		}
-		r.log.WithError(err).Warn("cannot announce gateway in the directory")
-		timer := time.NewTimer(announceRetryInterval)
-		select {
-		case <-timer.C:
-		case <-r.drainStarted:
-			timer.Stop()
-		case <-ctx.Done():
-			timer.Stop()
-		}
+	if r.draining.Load() || !d.retry(ctx, r.drainStarted, "cannot announce gateway in the directory", r.platform.Directory.Announce) {
+		return
 	}
+	r.log.Info("announced")
+	d.once.Do(func() { close(r.announced) })
 }
 
 // stayWithdrawn removes the gateway's entry, again when the directory lists it once
@@ -87,19 +75,27 @@
 // withdraw removes the gateway's entry. Until it succeeds, peers know of the drain
 // through the links, and the next gateway on this VM replaces the entry.
 func (d *announceDuty) withdraw(ctx context.Context) {
-	r := d.router
-	for ctx.Err() == nil {
-		err := r.platform.Directory.Withdraw(ctx, r.self)
+	d.retry(ctx, nil, "cannot remove gateway from the directory", d.router.platform.Directory.Withdraw)
+}
+
+// retry makes the call for this gateway until it succeeds, or until ctx or stop is
+// done. It reports whether it has succeeded.
+func (d *announceDuty) retry(ctx context.Context, stop <-chan struct{}, failure string, call func(context.Context, oriole.Member) error) bool {
+	for {
+		err := call(ctx, d.router.self)
 		if err == nil {
-			return
+			return true
 		}
-		r.log.WithError(err).Warn("cannot remove gateway from the directory")
+		d.router.log.WithError(err).Warn(failure)
 		timer := time.NewTimer(announceRetryInterval)
 		select {
 		case <-timer.C:
+			continue
+		case <-stop:
 		case <-ctx.Done():
-			timer.Stop()
 		}
+		timer.Stop()
+		return false
 	}
 }
 
--- a/internal/oriolerouter/orioledispatcher/crash.go
+++ b/internal/oriolerouter/orioledispatcher/crash.go
@@ -12,7 +12,8 @@
 
 // trackCrashes updates the crash detector from the result of a request that was
 // sent. If the connection broke, the request is suspected of crashing the
-// upstream, unless that was draining. If no connection could be opened, the incarnation counts as ended.
+// upstream, unless that was draining. If no connection could be opened, the incarnation
+// counts as ended.
 // Any other result clears the suspicions against requests to the upstream.
 func (d *poolDuty) trackCrashes(ctx context.Context, now time.Time, req *pendingRequest, response oriole.Response) {
 	switch {
