--- a/internal/oriolerouter/oriolelink/leaving_test.go
+++ b/internal/oriolerouter/oriolelink/leaving_test.go
@@ -18,12 +18,7 @@
 	forwarder, forwarderMember, forwarderReceiver := startLinks(t, "forwarder.1")
 	wanted := map[oriole.GatewayID]oriole.Member{dispatcherMember.ID: dispatcherMember}
 	forwarder.SetMembers(map[oriole.GatewayID]oriole.Member{dispatcherMember.ID: dispatcherMember, forwarderMember.ID: forwarderMember}, wanted)
-	for range 500 {
-		if forwarder.Reachable(dispatcherMember.ID) {
-			break
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+	awaitReachable(forwarder, dispatcherMember.ID)
 	left := oriole.Incarnation{ID: "u", StartedAt: time.UnixMilli(7)}
 	for _, want := range []oriole.Response{
 		{Outcome: oriole.OutcomeAnswered, Status: 200, Body: make([]byte, 3*partSize), Leaving: left},
--- a/internal/oriolerouter/oriolelink/links_test.go
+++ b/internal/oriolerouter/oriolelink/links_test.go
@@ -149,16 +149,21 @@
 	is.True(forwarder.Reachable(dispatcherMember.ID))
 }
 
-// forwardIdempotent starts an idempotent request to a dispatcher, and returns the
-// function that answers it, and the response.
-func forwardIdempotent(t *testing.T, forwarder *Links, dispatcher oriole.Member, receiver frameReceiver) (func(oriole.Response), <-chan oriole.Response) {
-	t.Helper()
+// awaitReachable waits until requests can be forwarded to the peer, or for 5 s.
+func awaitReachable(links *Links, peer oriole.GatewayID) {
 	for range 500 {
-		if forwarder.Reachable(dispatcher.ID) {
-			break
+		if links.Reachable(peer) {
+			return
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
+}
+
+// forwardIdempotent starts an idempotent request to a dispatcher, and returns the
+// function that answers it, and the response.
+func forwardIdempotent(t *testing.T, forwarder *Links, dispatcher oriole.Member, receiver frameReceiver) (func(oriole.Response), <-chan oriole.Response) {
+	t.Helper()
+	awaitReachable(forwarder, dispatcher.ID)
 	responses := make(chan oriole.Response, 1)
 	go func() {
 		request := oriole.Request{ID: "r", Pool: oriole.PoolID{Service: "s"}, Method: "GET", Idempotent: true, Deadline: time.Now().Add(time.Minute)}
@@ -269,9 +274,7 @@
 	is := is.New(t)
 	links, member, receiver := startLinks(t, "dispatcher.1")
 	conn := dialRaw(t, member, "forwarder.1")
-	writeRaw(t, conn, &oriolemessage.Frame{Request: oriolemessage.FromRequest(1, oriole.Request{
-		ID: "r", Pool: oriole.PoolID{Service: "s"}, Method: "GET", Deadline: time.Now().Add(time.Minute),
-	}, time.Now())})
+	writeRequest(t, conn)
 	reply := <-receiver.replies
 	is.Equal(links.unanswered(), int64(1))
 	// The response exceeds the buffers of the connection, which nobody reads yet.
@@ -302,15 +305,21 @@
 	is.NoErr(<-finished)
 }
 
+// writeRequest forwards a request over the connection.
+func writeRequest(t *testing.T, conn *websocket.Conn) {
+	t.Helper()
+	writeRaw(t, conn, &oriolemessage.Frame{Request: oriolemessage.FromRequest(1, oriole.Request{
+		ID: "r", Pool: oriole.PoolID{Service: "s"}, Method: "GET", Deadline: time.Now().Add(time.Minute),
+	}, time.Now())})
+}
+
 // TestFinishIgnoresEndedLinks checks that a gateway which stops does not wait for
 // the requests of a peer that is gone.
 func TestFinishIgnoresEndedLinks(t *testing.T) {
 	is := is.New(t)
 	links, member, receiver := startLinks(t, "dispatcher.1")
 	conn := dialRaw(t, member, "forwarder.1")
-	writeRaw(t, conn, &oriolemessage.Frame{Request: oriolemessage.FromRequest(1, oriole.Request{
-		ID: "r", Pool: oriole.PoolID{Service: "s"}, Method: "GET", Deadline: time.Now().Add(time.Minute),
-	}, time.Now())})
+	writeRequest(t, conn)
 	<-receiver.replies
 	is.NoErr(conn.CloseNow())
 	is.NoErr(links.Finish(context.Background()))
@@ -322,9 +331,7 @@
 	is := is.New(t)
 	links, member, receiver := startLinks(t, "dispatcher.1")
 	conn := dialRaw(t, member, "forwarder.1")
-	writeRaw(t, conn, &oriolemessage.Frame{Request: oriolemessage.FromRequest(1, oriole.Request{
-		ID: "r", Pool: oriole.PoolID{Service: "s"}, Method: "GET", Deadline: time.Now().Add(time.Minute),
-	}, time.Now())})
+	writeRequest(t, conn)
 	<-receiver.replies
 	finishCtx, cancel := context.WithTimeout(context.Background(), 2*oriolestop.CloseTimeout)
 	defer cancel()
--- a/internal/oriolerouter/oriolelink/notrun_test.go
+++ b/internal/oriolerouter/oriolelink/notrun_test.go
@@ -67,12 +67,7 @@
 	forwarder, forwarderMember, _ := startLinks(t, "forwarder.1")
 	members := map[oriole.GatewayID]oriole.Member{dispatcherMember.ID: dispatcherMember, forwarderMember.ID: forwarderMember}
 	forwarder.SetMembers(members, map[oriole.GatewayID]oriole.Member{dispatcherMember.ID: dispatcherMember})
-	for range 500 {
-		if forwarder.Reachable(dispatcherMember.ID) {
-			break
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+	awaitReachable(forwarder, dispatcherMember.ID)
 	responses := make(chan oriole.Response, 1)
 	go func() {
 		request := oriole.Request{ID: "r", Pool: oriole.PoolID{Service: "s"}, Method: "POST", Deadline: time.Now().Add(time.Minute)}
