A leader's own write is no restore of the store

Cause: what a gateway reads from the store reaches the leader's machine twice, as the result of the read and through the cluster state. If the state came first, the leader took its own write as published by a leader, with no version. The version read then was of a later era than none: the leader "found" a restore, released nothing and settled an era that had not changed. The leases were not updated in between either.

Change: a leader learns of assignments of its own term from the results of its calls only, which update its leases, too.

Evidence: TestOwnWriteIsNoRestore failed before.

--- a/pkg/oriole/orioleassign/leadership.go
+++ b/pkg/oriole/orioleassign/leadership.go
@@ -47,8 +47,12 @@
 	m.stepDown("leaving")
 }
 
-// receive handles an assignment that its leader has published.
+// receive handles an assignment that its leader has published. A leader learns of its
+// own writes from their results only, which also update its leases.
 func (m *Machine) receive(a oriole.Assignment) {
+	if m.leading && a.Term == m.current.Term {
+		return
+	}
 	if !m.hasCurrent || a.Newer(&m.current) {
 		m.setCurrent(a, oriole.Version{}, false)
 	}
--- a/pkg/oriole/orioleassign/restore_test.go
+++ b/pkg/oriole/orioleassign/restore_test.go
@@ -558,3 +558,25 @@
 	x.Equal(n, 0)
 	x.Equal(writes, 1)
 }
+
+// TestOwnWriteIsNoRestore guards against taking a write whose response was lost, and which
+// the gateway's other duties have read, for a restore of the store.
+func TestOwnWriteIsNoRestore(t *testing.T) {
+	x := newTakeover(t)
+	x.old.version.Era, x.old.storeEra = 1, 1
+	written := x.old.current.Clone()
+	written.Seq++
+	written.Fence++
+	written.Ranges[0].Fence = written.Fence
+	x.old.lastSeq, x.old.pendingWrite = written.Seq, &written
+	x.old.WriteDone(x.now, x.now, written, oriole.Version{}, errTimeout)
+	read := x.old.version.Next()
+
+	state := x.old.state.Clone()
+	state.SetAssignment(&written, x.now)
+	x.old.SetClusterState(x.now, state)
+	x.old.ReadDone(x.now, x.now, written, read, false, nil)
+	x.True(!x.old.settling)
+	x.Equal(x.old.version, read)
+	x.Equal(x.old.leases[0].Fence, written.Fence)
+}
