Refused connections no longer end the ownership of an upstream

Cause: two refused connections counted as the end of an incarnation. Its prior ownership was dropped while its lease ran.

Change: an incarnation has ended when another upstream answers at its address or a later incarnation is listed.

--- a/pkg/oriole/directory.go
+++ b/pkg/oriole/directory.go
@@ -35,8 +35,8 @@
 	// ErrExpired is returned when a call was not sent in time. It wraps
 	// [ErrNotSent] and says nothing about the upstream.
 	ErrExpired = errors.Wrap(ErrNotSent, "call has expired")
-	// ErrConnRefused is returned when nothing listens on an upstream's address,
-	// so that the incarnation that listened there has ended.
+	// ErrConnRefused is returned when a connection is refused: nothing listens on the
+	// address, or a partition refuses it while the upstream lives on.
 	ErrConnRefused = errors.New("nothing listens on the address")
 )
 
--- a/pkg/oriole/orioleassign/call.go
+++ b/pkg/oriole/orioleassign/call.go
@@ -49,13 +49,6 @@
 	return u, found
 }
 
-// mayBeLeaving reports whether the upstream drains, or may do so without the directory
-// saying it yet.
-func (m *Machine) mayBeLeaving(now time.Time, incarnation oriole.Incarnation) bool {
-	u, found := m.upstream(incarnation)
-	return (found && u.Draining) || now.Sub(m.state.DirectoryFailedAt) < directoryLag
-}
-
 // successor returns the incarnation that has replaced an earlier one in the
 // directory.
 func (m *Machine) successor(incarnation oriole.Incarnation) (oriole.Incarnation, bool) {
--- a/pkg/oriole/orioleassign/health.go
+++ b/pkg/oriole/orioleassign/health.go
@@ -12,24 +12,22 @@
 // updateHealth decides from the result of a call whether the upstream is down
 // or has ended. A single call that was sent but not answered does not show that
 // it is down: the upstream may execute calls late and serve requests meanwhile.
-// One that leaves may close its port before its requests have ended.
+// Connections that are reset or refused never show that it has ended: a partition
+// may do the same to those of all gateways while the upstream lives on.
 // A release that was not answered never counts, since it waits for running
 // requests.
 func (m *Machine) updateHealth(now time.Time, c call, st *upstreamStatus, err error) {
 	switch {
 	case err == nil, errors.Is(err, oriole.ErrFenced):
-		st.connectFailures, st.refusals, st.unanswered, st.down, st.unreachable = 0, 0, 0, false, false
+		st.connectFailures, st.unanswered, st.down, st.unreachable = 0, 0, false, false
 		return
 	case errors.Is(err, oriole.ErrReplaced):
-		st.refusals = downThreshold
+		m.recordEnd(now, c.incarnation, st, err)
 	case errors.Is(err, oriole.ErrConnClosed), errors.Is(err, oriole.ErrExpired), c.kind == callRelease && mayHaveArrived(err):
 		return
 	case errors.Is(err, oriole.ErrConnRefused):
 		st.connectFailures++
 		st.unreachable = false
-		if !m.mayBeLeaving(now, c.incarnation) {
-			st.refusals++
-		}
 	case errors.Is(err, oriole.ErrNotSent):
 		st.connectFailures++
 		st.unreachable = errors.Is(err, oriole.ErrUnreachable)
@@ -45,11 +43,6 @@
 		}
 		st.unanswered++
 	}
-	if st.refusals >= downThreshold && !st.ended {
-		st.ended, st.endedAt = true, now
-		m.repairDue = true
-		m.log("ended", LogEvent{Server: c.incarnation.ID, Detail: err.Error()})
-	}
 	if st.connectFailures >= downThreshold || (st.unanswered > downThreshold && now.Sub(st.unansweredSince) >= unansweredTimeout) {
 		if !st.down {
 			m.log("down", LogEvent{Server: c.incarnation.ID, Detail: err.Error()})
@@ -60,6 +53,16 @@
 	}
 }
 
+// recordEnd records that the incarnation has ended, as err shows.
+func (m *Machine) recordEnd(now time.Time, incarnation oriole.Incarnation, st *upstreamStatus, err error) {
+	if st.ended {
+		return
+	}
+	st.ended, st.endedAt = true, now
+	m.repairDue = true
+	m.log("ended", LogEvent{Server: incarnation.ID, Detail: err.Error()})
+}
+
 // hasPeers reports whether another gateway is alive that may lead.
 func (m *Machine) hasPeers() bool {
 	for _, member := range m.state.LiveMembers() {
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -89,9 +89,6 @@
 	// fencing tokens. When a connection breaks, all ranges of its upstream need
 	// new ones, which are then written together.
 	refenceInterval = 250 * time.Millisecond
-	// directoryLag is how long after an outage of the directory the entries of
-	// upstreams may be out of date: about two seconds, and a watch.
-	directoryLag = 3 * time.Second
 	// probeValidity is how long the result of a successful probe stays valid.
 	probeValidity = 10 * time.Second
 )
@@ -242,11 +239,9 @@
 	granting  bool
 	releasing int
 	probing   bool
-	// connectFailures counts consecutive failures to connect, refusals those of
-	// them where nothing listened on the address, and unanswered the calls that
-	// were sent but not answered since unansweredSince.
+	// connectFailures counts consecutive failures to connect, and unanswered the
+	// calls that were sent but not answered since unansweredSince.
 	connectFailures int
-	refusals        int
 	unanswered      int
 	unansweredSince time.Time
 	down            bool
@@ -254,8 +249,8 @@
 	unreachable bool
 	nextProbe   time.Time
 	probedAt    time.Time
-	// ended is set if this incarnation has certainly ended, which was found out
-	// at endedAt.
+	// ended is set if this incarnation has certainly ended, as another upstream uses
+	// its address. This was found out at endedAt.
 	ended   bool
 	endedAt time.Time
 	// requestDuration is the mean duration of requests, or 0 if unknown.
