A leader whose connections to upstreams are refused resigns

Callers got 503 for all sharded keys while the connections of the leader to upstreams were reset and refused, although all other gateways reached them: it went on to lead, and its leases expired.

Cause: a refused connection counted as an answer of the upstream's host, so that the leader didn't count as cut off (isolated).

Change: a refused attempt counts as out of reach, like one without an answer. Owners that a dispatcher in another zone reports as unreachable don't count: if half of the upstreams crash, a new leader sees the same, and leaders would replace each other.

--- a/internal/oriolerouter/orioleleader/leader.go
+++ b/internal/oriolerouter/orioleleader/leader.go
@@ -156,10 +156,10 @@
 	}})
 }
 
-// ReportUnreachable passes on a dispatcher's report that an upstream accepted no
-// connection.
-func (l *Leader) ReportUnreachable(ctx context.Context, service oriole.ServiceName, incarnation oriole.Incarnation) {
-	l.enqueue(ctx, event{service, func(now time.Time, m *orioleassign.Machine) { m.ReportUnreachable(now, incarnation) }})
+// ReportUnreachable passes on the report of a gateway's dispatcher that an upstream
+// accepted no connection.
+func (l *Leader) ReportUnreachable(ctx context.Context, from oriole.GatewayID, service oriole.ServiceName, incarnation oriole.Incarnation) {
+	l.enqueue(ctx, event{service, func(now time.Time, m *orioleassign.Machine) { m.ReportUnreachable(now, from, incarnation) }})
 }
 
 // ReportIsolated passes on the report that this gateway does not reach the upstreams to
--- a/internal/oriolerouter/receiver.go
+++ b/internal/oriolerouter/receiver.go
@@ -68,7 +68,7 @@
 		r.dispatcher.RecordCrash(oriolecrash.Fingerprint(fingerprint), incarnation)
 	case frame.Suspect != nil:
 		service, incarnation := frame.Suspect.ToSuspect()
-		r.leader.ReportUnreachable(ctx, service, incarnation)
+		r.leader.ReportUnreachable(ctx, from, service, incarnation)
 	case frame.Departure != nil:
 		incarnation, err := frame.Departure.ToDeparture()
 		if err != nil {
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -276,7 +276,7 @@
 	switch {
 	case a == nil:
 	case a.Leader == r.self.ID:
-		r.leader.ReportUnreachable(ctx, service, incarnation)
+		r.leader.ReportUnreachable(ctx, r.self.ID, service, incarnation)
 	default:
 		r.links.Send(a.Leader, &oriolemessage.Frame{Suspect: oriolemessage.FromSuspect(service, incarnation)})
 	}
--- a/pkg/oriole/orioleassign/assign_test.go
+++ b/pkg/oriole/orioleassign/assign_test.go
@@ -200,27 +200,44 @@
 // failure, from the target in docs/DEVELOPERS.md.
 const recoveryTarget = time.Second
 
-// reportSuspect simulates a dispatcher that fails to connect to the server
-// 100 ms from now, and reports this to the leader.
-func (s *sim) reportSuspect(srv *simServer) {
-	incarnation := oriole.Incarnation{ID: srv.id, StartedAt: srv.startedAt}
+// reportSuspect simulates dispatchers on all gateways that fail to connect to the server
+// 100 ms from now, and report this to the leader.
+func (s *sim) reportSuspect(srv *simServer) { s.reportSuspectFrom(srv, s.gateways) }
+
+// reportSuspectFrom does the same for dispatchers on the gateways.
+func (s *sim) reportSuspectFrom(srv *simServer, gateways []*simGateway) {
+	incarnation := srv.incarnation()
 	s.schedule(100*time.Millisecond, func() {
 		for _, g := range s.gateways {
-			if !g.down {
-				g.machine.ReportUnreachable(s.clock.Now(), incarnation)
-				s.runEffects(g)
+			if g.down {
+				continue
+			}
+			for _, from := range gateways {
+				g.machine.ReportUnreachable(s.clock.Now(), from.id, incarnation)
 			}
+			s.runEffects(g)
 		}
 	})
 }
 
 // cutFromServers cuts the gateway off from all servers.
-func (s *sim) cutFromServers(g *simGateway) {
+func (s *sim) cutFromServers(g *simGateway, kind cutKind) {
 	for _, srv := range s.servers {
-		s.cutLinks[[2]string{g.name, string(srv.id)}] = cutHangs
+		s.cutLinks[[2]string{g.name, string(srv.id)}] = kind
 	}
 }
 
+// cutFromLeaderAndNext cuts the leader off from all servers, and then its successor.
+func (s *sim) cutFromLeaderAndNext(kind cutKind) {
+	first := s.leader()
+	s.cutFromServers(first, kind)
+	s.schedule(2*time.Second, func() {
+		if next := s.leader(); next != nil && next != first {
+			s.cutFromServers(next, kind)
+		}
+	})
+}
+
 // TestRecovery checks for how long keys are without an owner after each kind of
 // failure. The bounds are at most recoveryTarget, with two exceptions: the
 // lease of a server that is silent or refuses connections has to expire first,
@@ -257,16 +274,31 @@
 			s.servers[0].draining = true
 			s.publishState()
 		}, 2 * time.Second},
-		{"leader alone can't reach the servers", func(s *sim) { s.cutFromServers(s.leader()) }, 0},
-		{"leader and its successor can't reach the servers", func(s *sim) {
-			first := s.leader()
-			s.cutFromServers(first)
-			s.schedule(2*time.Second, func() {
-				if next := s.leader(); next != nil && next != first {
-					s.cutFromServers(next)
-				}
-			})
+		{"leader alone can't reach the servers", func(s *sim) { s.cutFromServers(s.leader(), cutHangs) }, 0},
+		{"leader's connections to the servers are reset", func(s *sim) { s.cutFromServers(s.leader(), cutResets) }, 0},
+		{"leader's new connections to the servers are refused", func(s *sim) { s.cutFromServers(s.leader(), cutRefuses) }, 0},
+		{"leader and its successor can't reach the servers", func(s *sim) { s.cutFromLeaderAndNext(cutHangs) }, recoveryTarget},
+		{"leader's connections to the servers are reset, and its successor's", func(s *sim) { s.cutFromLeaderAndNext(cutResets) }, recoveryTarget},
+		{"connections of the leader's zone to the servers are reset", func(s *sim) {
+			for _, g := range s.gateways {
+				g.zone = "other"
+			}
+			zone := s.cutGateways(cutZone)
+			for _, g := range zone {
+				g.zone = "own"
+			}
+			s.publishState()
+			for _, srv := range s.servers {
+				s.cutServer(srv, cutResets, zone, time.Hour)
+				s.schedule(time.Second, func() { s.reportSuspectFrom(srv, zone) })
+			}
 		}, recoveryTarget},
+		{"half of the servers killed", func(s *sim) {
+			for _, srv := range s.servers[:3] {
+				s.reportSuspect(srv)
+				s.killServer(srv)
+			}
+		}, lease + reaction},
 		{"store restored", (*sim).restoreAfterChange, 0},
 		{"store restored, and a server killed, lease expires", func(s *sim) {
 			s.restoreAfterChange()
--- a/pkg/oriole/orioleassign/call.go
+++ b/pkg/oriole/orioleassign/call.go
@@ -317,10 +317,13 @@
 // ReportUnreachable handles a dispatcher's report that the upstream accepted no
 // connection. The leader checks this for itself by renewing the upstream's
 // leases at once.
-func (m *Machine) ReportUnreachable(now time.Time, incarnation oriole.Incarnation) {
+func (m *Machine) ReportUnreachable(now time.Time, from oriole.GatewayID, incarnation oriole.Incarnation) {
 	if !m.leading {
 		return
 	}
+	if m.inAnotherZone(from) {
+		m.status(incarnation).reportedAt = now
+	}
 	for i := range m.leases {
 		l := &m.leases[i]
 		if l.Owner == incarnation && l.granted {
--- a/pkg/oriole/orioleassign/cut_test.go
+++ b/pkg/oriole/orioleassign/cut_test.go
@@ -66,7 +66,7 @@
 		s.cutLinks[pair] = kind
 		s.schedule(span, func() { delete(s.cutLinks, pair) })
 	}
-	s.reportSuspect(srv)
+	s.reportSuspectFrom(srv, gateways)
 }
 
 // injectCut cuts gateways off from some of the servers.
--- a/pkg/oriole/orioleassign/health.go
+++ b/pkg/oriole/orioleassign/health.go
@@ -25,12 +25,9 @@
 		m.recordEnd(now, c.incarnation, st, err)
 	case errors.Is(err, oriole.ErrConnClosed), errors.Is(err, oriole.ErrExpired), c.kind == callRelease && mayHaveArrived(err):
 		return
-	case errors.Is(err, oriole.ErrConnRefused):
+	case errors.Is(err, oriole.ErrNotSent), errors.Is(err, oriole.ErrConnRefused):
 		st.connectFailures++
-		st.unreachable = false
-	case errors.Is(err, oriole.ErrNotSent):
-		st.connectFailures++
-		st.unreachable = errors.Is(err, oriole.ErrUnreachable)
+		st.unreachable = errors.Is(err, oriole.ErrUnreachable) || errors.Is(err, oriole.ErrConnRefused)
 		if st.unreachable && m.isolated(now) {
 			m.isolatedAt = now
 			m.stepDown("upstreams can't be reached")
@@ -73,19 +70,35 @@
 	return false
 }
 
+// inAnotherZone reports whether the gateway's zone is not this one's, or all gateways are
+// in the same zone.
+func (m *Machine) inAnotherZone(g oriole.GatewayID) bool {
+	zone := m.state.Gateways[m.cfg.Self].Zone
+	if m.state.Gateways[g].Zone != zone {
+		return true
+	}
+	for _, member := range m.state.Gateways {
+		if member.Zone != zone {
+			return false
+		}
+	}
+	return g != m.cfg.Self
+}
+
 // ReportIsolated handles the report that this gateway does not reach the upstreams to
 // which it sends requests itself. It goes on to lead if it reaches most of the others.
 func (m *Machine) ReportIsolated(now time.Time) { m.isolatedAt = now }
 
 // isolated reports whether this leader can't reach so many owners that it is cut off
-// itself. After a stall of this gateway, attempts may have ended without need.
+// itself. Those that another zone can't reach either don't count. After a stall of this
+// gateway, attempts may have ended without need.
 func (m *Machine) isolated(now time.Time) bool {
 	if !m.leading || now.Sub(m.stalledAt) < unansweredTimeout || !m.hasPeers() {
 		return false
 	}
 	unreachable := 0
 	for owner := range m.owners() {
-		if st := m.upstreams[owner]; st != nil && st.unreachable {
+		if st := m.upstreams[owner]; st != nil && st.unreachable && now.Sub(st.reportedAt) >= reportValidity {
 			unreachable++
 		}
 	}
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -81,6 +81,9 @@
 	// isolatedDelay longer than others before it claims the leadership.
 	isolationTime = 10 * time.Second
 	isolatedDelay = 3 * time.Second
+	// reportValidity is how long a dispatcher's report that it can't reach an upstream
+	// stays valid. It is repeated as long as there are requests for the upstream.
+	reportValidity = 2 * time.Second
 	// unansweredTimeout is how long calls must go unanswered before an upstream
 	// counts as down. It leaves time for two more grants before the lease
 	// expires.
@@ -245,8 +248,10 @@
 	unanswered      int
 	unansweredSince time.Time
 	down            bool
-	// unreachable is set if the upstream did not answer the last attempt to connect.
+	// unreachable is set if the last attempt to connect to the upstream failed.
+	// reportedAt is when a dispatcher in another zone last reported the same.
 	unreachable bool
+	reportedAt  time.Time
 	nextProbe   time.Time
 	probedAt    time.Time
 	// ended is set if this incarnation has certainly ended, as another upstream uses
--- a/pkg/oriole/orioleassign/sim_test.go
+++ b/pkg/oriole/orioleassign/sim_test.go
@@ -61,6 +61,7 @@
 
 type simGateway struct {
 	name    string
+	zone    oriole.ZoneName
 	id      oriole.GatewayID
 	machine *Machine
 	down    bool
@@ -315,7 +316,7 @@
 			}
 		}
 		for _, other := range s.gateways {
-			state.Gateways[other.id] = oriole.Member{ID: other.id, VM: other.name}
+			state.Gateways[other.id] = oriole.Member{ID: other.id, VM: other.name, Zone: other.zone}
 			if other == g || (!other.down && !other.paused && s.cutLinks[[2]string{g.name, other.name}] == cutNone) {
 				state.Alive[other.id] = true
 			}
