A move whose release is refused is taken back

Callers got 503 (no-owner) for up to a lease, 5.6 s, for keys that a leader moved while new connections to their owners were refused and open ones lived on: a release needs a connection of its own, while grants go on.

Change: a release without a connection says nothing about grants. Moves that no release has reached are taken back, as their prior owners still hold the keys, and for 2 s no more ranges of that upstream are moved.

--- a/pkg/oriole/orioleassign/balance.go
+++ b/pkg/oriole/orioleassign/balance.go
@@ -17,6 +17,8 @@
 	capacity float64
 	duration time.Duration
 	load     float64
+	// pinned is set if its ranges can't be released now.
+	pinned bool
 }
 
 // maxUtilization is the utilization from which a target counts as overloaded
@@ -238,7 +240,7 @@
 	for i := 1; i < len(b.ranges) && moves < min(maxMoves, excess); i++ {
 		r, neighbour := b.ranges[i], b.ranges[i-1]
 		from, to := b.byIncarnation[r.Owner], b.byIncarnation[neighbour.Owner]
-		if from == nil || to == nil || from == to || !r.Grantable() || !neighbour.Grantable() {
+		if from == nil || to == nil || from == to || from.pinned || !r.Grantable() || !neighbour.Grantable() {
 			continue
 		}
 		load := b.load.between(r.First, r.Last)
@@ -252,13 +254,13 @@
 	return moves
 }
 
-// mostExpensive returns the target with the highest cost that is not blocked, or
-// nil if all are.
+// mostExpensive returns the target with the highest cost that is neither blocked nor
+// pinned, or nil if all are.
 func (b *balancer) mostExpensive(blocked map[*target]bool) *target {
 	var high *target
 	highCost := 0.0
 	for _, t := range b.targets {
-		if cost := t.cost(t.load); !blocked[t] && (high == nil || cost > highCost) {
+		if cost := t.cost(t.load); !blocked[t] && !t.pinned && (high == nil || cost > highCost) {
 			high, highCost = t, cost
 		}
 	}
--- a/pkg/oriole/orioleassign/cut_test.go
+++ b/pkg/oriole/orioleassign/cut_test.go
@@ -228,6 +228,65 @@
 	t.Logf("%s: two owners: %v, keys without an owner for %v", name, twoOwners, unowned)
 }
 
+// TestRefusedReleaseTakesMoveBack guards against leaving the keys of a move without an
+// owner because the prior owner, which could still be granted them, refuses the new
+// connection of a release.
+func TestRefusedReleaseTakesMoveBack(t *testing.T) {
+	s := newSettledSim(t)
+	const hot, span, step = 50, 6 * time.Second, 100 * time.Millisecond
+	for _, g := range s.gateways {
+		s.cutFromServers(g, cutRefuses)
+	}
+	unowned := time.Duration(0)
+	for range span / step {
+		for i := range hot {
+			s.leader().machine.AddLoad(BucketOf(20000)+i, 0.1)
+		}
+		unowned += s.unservedFor(step)
+	}
+	if s.violation != "" || unowned > recoveryTarget {
+		s.fail(t, 7, fmt.Sprintf("keys without an owner that is assigned them for %v, bound %v. %s", unowned, recoveryTarget, s.violation))
+	}
+	clear(s.cutLinks)
+	s.run(3 * time.Second)
+	owners := make(map[oriole.ServerID]bool)
+	for i := range hot {
+		owners[s.leader().machine.Assignment().Find(oriole.ShardKey(20000+i*bucketKeys)).Owner.ID] = true
+	}
+	if len(owners) < 2 {
+		t.Error("hot keys are not moved once releases arrive again")
+	}
+}
+
+// unservedFor runs the simulation for the span and returns for how long any sampled key
+// had no owner to which requests for it are sent.
+func (s *sim) unservedFor(span time.Duration) time.Duration {
+	const step = 20 * time.Millisecond
+	total := time.Duration(0)
+	for range span / step {
+		s.run(step)
+		if s.unserved() {
+			total += step
+		}
+	}
+	return total
+}
+
+// unserved reports whether the assigned owner of any sampled key doesn't hold it.
+func (s *sim) unserved() bool {
+	a := s.leader().machine.Assignment()
+	for i := range sampleCount {
+		r := a.Find(sampleKey(i))
+		held := slices.ContainsFunc(s.servers, func(srv *simServer) bool {
+			return srv.incarnation() == r.Owner && !srv.down && srv.leaseUntil[i].After(s.clock.Now())
+		})
+		if !held {
+			return true
+		}
+	}
+	return false
+}
+
 // TestShortLease shows what a lease costs that expires within recoveryTarget: when the
 // leader is lost, keys lose their owners until it is replaced.
 func TestShortLease(t *testing.T) {
--- a/pkg/oriole/orioleassign/health.go
+++ b/pkg/oriole/orioleassign/health.go
@@ -25,6 +25,11 @@
 		m.recordEnd(now, c.incarnation, st, err)
 	case errors.Is(err, oriole.ErrConnClosed), errors.Is(err, oriole.ErrExpired), c.kind == callRelease && mayHaveArrived(err):
 		return
+	case c.kind == callRelease:
+		// Grants, which need no connection of their own, may still arrive.
+		st.releaseFailedAt = now
+		m.takeBackDue = true
+		return
 	case errors.Is(err, oriole.ErrNotSent), errors.Is(err, oriole.ErrConnRefused):
 		st.connectFailures++
 		st.unreachable = errors.Is(err, oriole.ErrUnreachable) || errors.Is(err, oriole.ErrConnRefused)
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -81,6 +81,9 @@
 	// isolatedDelay longer than others before it claims the leadership.
 	isolationTime = 10 * time.Second
 	isolatedDelay = 3 * time.Second
+	// releaseRetryInterval is how long after a release found no connection its upstream's
+	// ranges stay where they are.
+	releaseRetryInterval = 2 * time.Second
 	// reportValidity is how long a dispatcher's report that it can't reach an upstream
 	// stays valid. It is repeated as long as there are requests for the upstream.
 	reportValidity = 2 * time.Second
@@ -195,6 +198,9 @@
 	// unusable, since the ranges were last checked for either. refenceDue is set if
 	// that check was too early to replace fencing tokens.
 	repairDue, refenceDue bool
+	// takeBackDue is set if a release found no connection since moves were last taken
+	// back.
+	takeBackDue bool
 	// publishDue is set if current has changes that are not published yet.
 	publishDue bool
 	// lastSeq is the highest sequence number used in this term. dirty is set if
@@ -254,6 +260,8 @@
 	reportedAt  time.Time
 	nextProbe   time.Time
 	probedAt    time.Time
+	// releaseFailedAt is when a release last found no connection, or zero.
+	releaseFailedAt time.Time
 	// ended is set if this incarnation has certainly ended, as another upstream uses
 	// its address. This was found out at endedAt.
 	ended   bool
--- a/pkg/oriole/orioleassign/plan.go
+++ b/pkg/oriole/orioleassign/plan.go
@@ -32,6 +32,9 @@
 		duration = defaultRequestDuration
 	}
 	t := target{incarnation: u.Incarnation(), duration: duration, capacity: float64(u.Slots) / duration.Seconds()}
+	if failedAt := m.status(u.Incarnation()).releaseFailedAt; !failedAt.IsZero() {
+		t.pinned = now.Sub(failedAt) < releaseRetryInterval
+	}
 	if u.ColdUntil.After(now) {
 		t.capacity = min(t.capacity, m.coldRate()*coldUtilization)
 	}
@@ -69,8 +72,9 @@
 	due := !m.nextPlan.After(now) && !fixed
 	refence := !m.nextRefence.After(now)
 	repair := (m.repairDue || (m.refenceDue && refence)) && !fixed
+	takeBack := m.takeBackDue && !fixed
 	var targets []target
-	if due || repair {
+	if due || repair || takeBack {
 		targets = m.targets(now, false)
 	}
 	if repair {
@@ -79,9 +83,11 @@
 		m.repairDue, m.refenceDue = false, !refence
 	}
 	var b *balancer
-	if due || repair {
+	if due || repair || takeBack {
 		m.load.Decay(now)
 		b = newBalancer(m.current.Ranges, targets, m.load.profile())
+		b.takeBack(m.leases)
+		m.takeBackDue = false
 		b.reassignUnowned()
 		if refence {
 			b.refence(m.leases)
@@ -143,6 +149,26 @@
 	return prior
 }
 
+// takeBack returns the ranges to their prior owners that can't be released, and that
+// no release has reached: they still hold them, and can be granted them at once.
+func (b *balancer) takeBack(leases []lease) {
+	for i := range leases {
+		l := &leases[i]
+		if len(l.priorOwners) != 1 || l.priorOwners[0].releaseSent || !l.priorOwners[0].repeatAnswered.IsZero() {
+			continue
+		}
+		prior := b.byIncarnation[l.priorOwners[0].incarnation]
+		j, found := rangeFrom(b.ranges, l.First)
+		if prior == nil || !prior.pinned || !found || b.ranges[j].Fence != l.Fence {
+			continue
+		}
+		if to := b.byIncarnation[l.Owner]; to != nil {
+			to.load -= b.load.between(l.First, l.Last)
+		}
+		b.ranges[j] = b.reassign(b.ranges[j], prior)
+	}
+}
+
 // refence requests a new fencing token for ranges whose fencing token is
 // unusable.
 func (b *balancer) refence(leases []lease) {
