A dispatcher that is refused connections gives its requests back

Callers waited for, and lost, requests at gateways whose connections to upstreams were reset and refused, although other gateways reached them.

Cause: a refused connection counted as the end of the upstream, so that its dispatcher kept its requests and tried again until their deadlines. Only attempts without an answer counted as out of reach.

Change: a refused connection counts as out of reach too, unless another request is running at the upstream, as open connections may live on.

TestReachRefused fails before.

--- a/internal/oriolerouter/orioledispatcher/duty.go
+++ b/internal/oriolerouter/orioledispatcher/duty.go
@@ -106,7 +106,7 @@
 		if p := d.pools[e.result.pool]; p != nil {
 			d.trackCrashes(ctx, now, p.jobs[e.result.job], e.result.response)
 			p.pool.Finish(now, e.result.job, e.result.response)
-			if e.result.response.Reason == oriole.ReasonUnreachable {
+			if e.result.response.Reason == oriole.ReasonUnreachable || e.result.response.Refused {
 				d.reportIsolated(ctx)
 			}
 			d.execute(ctx, e.result.pool, p)
--- a/internal/orioleupstream/sender.go
+++ b/internal/orioleupstream/sender.go
@@ -100,6 +100,7 @@
 		response = oriole.NotRunResponse(oriole.ReasonUnreachable)
 	case errors.Is(err, oriole.ErrNotSent), errors.Is(err, oriole.ErrConnRefused):
 		response = oriole.NotRunResponse(oriole.ReasonConnection)
+		response.Refused = errors.Is(err, oriole.ErrConnRefused)
 	case errors.Is(err, ErrAmbiguous):
 		response.Reason = oriole.ReasonBadResponse
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
--- a/pkg/oriole/oriolepool/pool.go
+++ b/pkg/oriole/oriolepool/pool.go
@@ -322,6 +322,9 @@
 	}
 	delete(p.running, id)
 	j.server.finish(now, response, now.Sub(j.startedAt))
+	if response.Refused && j.server.unreachable {
+		response.Reason = oriole.ReasonUnreachable
+	}
 	if p.unreachable(now) {
 		p.refuseQueued(oriole.ReasonUnreachable, reachInterval)
 	}
--- a/pkg/oriole/oriolepool/reach_test.go
+++ b/pkg/oriole/oriolepool/reach_test.go
@@ -59,3 +59,40 @@
 	is.True(h.started[1] != lost && h.started[2] != lost)
 	is.Equal(h.QueueLen(), 2)
 }
+
+// TestReachRefused guards against keeping requests at a dispatcher whose connections are
+// reset and refused, although another one may reach the upstream; and against taking an
+// upstream for unreachable that refuses new connections while open ones live on.
+func TestReachRefused(t *testing.T) {
+	refused := oriole.NotRunResponse(oriole.ReasonConnection)
+	refused.Refused = true
+	t.Run("no request is running", func(t *testing.T) {
+		is := is.New(t)
+		h := newHarness(server("a"))
+		for id := range oriolepool.JobID(3) {
+			h.arrive(0, id, 0, 5*time.Second)
+		}
+		h.Finish(atMs(10), 0, refused)
+		h.Finish(atMs(11), 1, refused)
+		h.collect()
+		is.Equal(h.responses[1].Reason, oriole.ReasonUnreachable)
+		is.Equal(h.responses[2].Reason, oriole.ReasonUnreachable) // queued
+		unreachable, _ := h.Reach()
+		is.Equal(unreachable, 1)
+		h.arrive(600, 3, 0, 5*time.Second)
+		is.Equal(h.started[3], oriole.ServerID("a")) // tried again
+	})
+	t.Run("another request is running", func(t *testing.T) {
+		is := is.New(t)
+		h := newHarness(server("a"))
+		h.arrive(0, 0, 0, 5*time.Second)
+		h.arrive(0, 1, 0, 5*time.Second)
+		h.arrive(0, 2, 0, 5*time.Second)
+		h.Finish(atMs(10), 1, refused)
+		h.collect()
+		is.Equal(h.responses[1].Reason, oriole.ReasonConnection)
+		is.Equal(len(h.responses), 1)
+		unreachable, _ := h.Reach()
+		is.Equal(unreachable, 0)
+	})
+}
--- a/pkg/oriole/oriolepool/server.go
+++ b/pkg/oriole/oriolepool/server.go
@@ -50,8 +50,8 @@
 	// pausedUntil.
 	suspectUntil time.Time
 	pausedUntil  time.Time
-	// unreachable is set if the upstream did not answer the last attempt to connect.
-	// It then gets one request at a time, from reachAt on.
+	// unreachable is set if the upstream did not answer the last attempt to connect, or
+	// refused it while no request was running. It then gets one request at a time, from reachAt on.
 	unreachable bool
 	reachAt     time.Time
 	// tokens is the token bucket of a rate-limited upstream, in requests;
@@ -109,6 +109,10 @@
 		s.unreachable, s.reachAt = true, now.Add(reachInterval)
 		return
 	}
+	if response.Refused && s.running == 0 {
+		// No other request shows that open connections live on.
+		s.unreachable, s.reachAt = true, now.Add(reachInterval)
+	}
 	s.unreachable = s.unreachable && response.Outcome != oriole.OutcomeAnswered
 	switch {
 	case response.Outcome == oriole.OutcomeAnswered:
--- a/pkg/oriole/request.go
+++ b/pkg/oriole/request.go
@@ -143,6 +143,9 @@
 	// Limit is what the last header from the upstream says of its limit, or nil if none
 	// was read.
 	Limit *RateLimit
+	// Refused is set if the request was not sent as the upstream's address refused the
+	// connection. It is for the dispatcher, and not sent to other gateways.
+	Refused bool
 	// IgnoredFields is the number of fields of the upstream's header that could not
 	// be read and are ignored.
 	IgnoredFields int
