Records of crashes are withdrawn when the upstream lives

A request was refused by all gateways for a minute if it had lost its connections to three upstreams that then refused new ones, although a partition does both and the upstreams live on.

A record is now withdrawn when the upstream answers, and when it is still listed 5 s later by a directory that has not failed meanwhile, as entries of crashed upstreams expire before.

TestCrashIsWithdrawn: "answers" and "still listed" fail without it.

--- a/internal/oriolerouter/orioledispatcher/crash.go
+++ b/internal/oriolerouter/orioledispatcher/crash.go
@@ -10,10 +10,14 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 )
 
+// directoryLag is how long after a failed call to the directory its entries may be out of
+// date: three heartbeats of an upstream, and a watch.
+const directoryLag = 5 * time.Second
+
 // trackCrashes updates the crash detector from the result of a request that was
 // sent. If the connection broke, the request is suspected of crashing the
 // upstream, unless that was draining. If no connection could be opened, the incarnation
-// counts as ended.
+// counts as ended until a response, or its entry in the directory, shows that it lives.
 // Any other result clears the suspicions against requests to the upstream.
 func (d *poolDuty) trackCrashes(ctx context.Context, now time.Time, req *pendingRequest, response oriole.Response) {
 	switch {
@@ -31,11 +35,27 @@
 		// Others may reach the upstream: it need not have ended.
 		d.dispatcher.cfg.Metrics.Add("pool_unreachable", 1)
 		d.reportUnreachable(ctx, req)
+	case response.Server == req.incarnation.ID && (response.Outcome == oriole.OutcomeAnswered || response.Reason == oriole.ReasonShed):
+		d.crashes.Alive(req.incarnation)
 	default:
 		d.crashes.ClearSuspect(req.incarnation)
 	}
 }
 
+// withdrawCrashes withdraws the records of crashes of upstreams that the directory still
+// lists: a partition closes and refuses connections too.
+func (d *poolDuty) withdrawCrashes(now time.Time) {
+	state := d.dispatcher.cfg.State.Snapshot()
+	if now.Sub(state.DirectoryFailedAt) < directoryLag {
+		return
+	}
+	for _, incarnation := range d.crashes.Unconfirmed(now) {
+		if u, listed := state.Upstreams[incarnation.ID]; listed && u.Incarnation() == incarnation {
+			d.crashes.Alive(incarnation)
+		}
+	}
+}
+
 // recordCrashes logs the requests that count as the cause of an incarnation's
 // end, and reports them to peers.
 func (d *poolDuty) recordCrashes(now time.Time, incarnation oriole.Incarnation) {
--- a/internal/oriolerouter/orioledispatcher/crash_test.go
+++ b/internal/oriolerouter/orioledispatcher/crash_test.go
@@ -17,6 +17,16 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
 )
 
+// newCrashDuty returns a duty without pools, and the cluster state that it sees.
+func newCrashDuty() (*poolDuty, *oriole.ClusterState) {
+	state := oriole.NewClusterState()
+	disp := New(Config{
+		State: fixedState{state}, Timers: orioletimer.New(), Metrics: orioletelemetry.NewMetrics(), Log: &log.Logger{Handler: discard.New()},
+		ReportCrash: func(oriolecrash.Fingerprint, oriole.Incarnation) {}, CloseIdleConns: func(func(oriole.Incarnation) bool) {},
+	}, suture.Spec{})
+	return &poolDuty{dispatcher: disp, pools: make(map[oriole.PoolID]*poolState), crashes: oriolecrash.New(), idempotency: orioleidempotency.New()}, state
+}
+
 // TestDepartureIsNoCrash guards against refusing a request because upstreams that had
 // broken a connection left in good order, or were missing from a restored list.
 func TestDepartureIsNoCrash(t *testing.T) {
@@ -50,12 +60,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
-			state := oriole.NewClusterState()
-			disp := New(Config{
-				State: fixedState{state}, Timers: orioletimer.New(), Metrics: orioletelemetry.NewMetrics(), Log: &log.Logger{Handler: discard.New()},
-				ReportCrash: func(oriolecrash.Fingerprint, oriole.Incarnation) {}, CloseIdleConns: func(func(oriole.Incarnation) bool) {},
-			}, suture.Spec{})
-			d := &poolDuty{dispatcher: disp, pools: make(map[oriole.PoolID]*poolState), crashes: oriolecrash.New(), idempotency: orioleidempotency.New()}
+			d, state := newCrashDuty()
 			ctx, now := context.Background(), time.Unix(1000, 0)
 			req := &pendingRequest{ctx: ctx, request: oriole.Request{Method: "GET", Host: "h", Target: "/"}}
 			req.fingerprint = oriolecrash.FingerprintOf(req.request)
@@ -86,3 +91,48 @@
 		})
 	}
 }
+
+// TestCrashIsWithdrawn guards against refusing a request because upstreams that live on
+// had their connections reset and new ones refused while they ran it.
+func TestCrashIsWithdrawn(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// wait is the time since the last connection was refused, failedAgo that since
+		// a call to the directory has failed.
+		wait, failedAgo time.Duration
+		listed          bool
+		answers         bool
+		refuses         bool
+	}{
+		{"at once", 0, time.Hour, true, false, true},
+		{"answers", 0, time.Hour, true, true, false},
+		{"still listed", 5 * time.Second, time.Hour, true, false, false},
+		{"still listed by a directory that is just back", 5 * time.Second, time.Second, true, false, true},
+		{"no longer listed", 5 * time.Second, time.Hour, false, false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			d, state := newCrashDuty()
+			ctx, now := context.Background(), time.Unix(1000, 0)
+			req := &pendingRequest{ctx: ctx, request: oriole.Request{Method: "GET", Host: "h", Target: "/"}}
+			req.fingerprint = oriolecrash.FingerprintOf(req.request)
+			for _, id := range []oriole.ServerID{"a", "b", "c"} {
+				u := oriole.Upstream{ID: id, StartedAt: time.UnixMilli(2)}
+				if test.listed {
+					state.Upstreams[id] = u
+				}
+				req.incarnation = u.Incarnation()
+				d.trackCrashes(ctx, now, req, oriole.UnknownResponse(oriole.ReasonConnection))
+				d.trackCrashes(ctx, now, req, oriole.NotRunResponse(oriole.ReasonConnection))
+			}
+			is.True(d.crashes.Refuses(now, req.fingerprint))
+			if test.answers {
+				d.trackCrashes(ctx, now, req, oriole.Response{Outcome: oriole.OutcomeAnswered, Server: "c"})
+			}
+			now = now.Add(test.wait)
+			state.DirectoryFailedAt = now.Add(-test.failedAgo)
+			d.tick(ctx, now)
+			is.Equal(d.crashes.Refuses(now, req.fingerprint), test.refuses)
+		})
+	}
+}
--- a/internal/oriolerouter/orioledispatcher/duty.go
+++ b/internal/oriolerouter/orioledispatcher/duty.go
@@ -298,6 +298,7 @@
 	if d.reportDue {
 		d.reportDurations(ctx)
 	}
+	d.withdrawCrashes(now)
 	for id, p := range d.pools {
 		switch {
 		case p.pool.QueueLen() > 0:
--- a/pkg/oriole/oriolecrash/detector.go
+++ b/pkg/oriole/oriolecrash/detector.go
@@ -53,6 +53,8 @@
 	// suspects maps each upstream that may have crashed to the requests whose
 	// connections it lost, and when.
 	suspects *simplelru.LRU[oriole.Incarnation, map[Fingerprint]time.Time]
+	// ended maps the upstreams that count as crashed to when that was last recorded.
+	ended *simplelru.LRU[oriole.Incarnation, time.Time]
 }
 
 // New returns an empty detector.
@@ -66,7 +68,11 @@
 	if err != nil {
 		panic(err)
 	}
-	return &Detector{crashes: crashes, suspects: suspects}
+	ended, err := simplelru.NewLRU[oriole.Incarnation, time.Time](maxEntries, nil)
+	if err != nil {
+		panic(err)
+	}
+	return &Detector{crashes: crashes, suspects: suspects, ended: ended}
 }
 
 // ConnectionLost records that the connection to the upstream broke while it ran
@@ -80,14 +86,40 @@
 	lostRequests[fp] = now
 }
 
-// ClearSuspect records that the upstream is alive, so that the requests whose
-// connections it lost did not crash it.
+// ClearSuspect records that the end of the upstream would be no crash, so that the
+// requests whose connections it lost are no cause of it.
 func (d *Detector) ClearSuspect(inc oriole.Incarnation) {
 	if d.suspects.Len() > 0 {
 		d.suspects.Remove(inc)
 	}
 }
 
+// Alive records that the upstream lives: no request crashed it, although its connections
+// were lost and refused.
+func (d *Detector) Alive(inc oriole.Incarnation) {
+	d.ClearSuspect(inc)
+	if d.ended.Len() == 0 || !d.ended.Remove(inc) {
+		return
+	}
+	for _, fp := range d.crashes.Keys() {
+		if incarnations, known := d.crashes.Peek(fp); known {
+			delete(incarnations, inc)
+		}
+	}
+}
+
+// Unconfirmed returns the upstreams that have counted as crashed for so long that the
+// directory no longer lists those that have.
+func (d *Detector) Unconfirmed(now time.Time) []oriole.Incarnation {
+	var unconfirmed []oriole.Incarnation
+	for _, inc := range d.ended.Keys() {
+		if at, known := d.ended.Peek(inc); known && now.Sub(at) >= suspectWindow {
+			unconfirmed = append(unconfirmed, inc)
+		}
+	}
+	return unconfirmed
+}
+
 // UpstreamEnded records that the incarnation of the upstream has ended, and
 // returns the requests that count as the cause.
 func (d *Detector) UpstreamEnded(now time.Time, inc oriole.Incarnation) []Fingerprint {
@@ -119,6 +151,7 @@
 		d.crashes.Add(fp, incarnations)
 	}
 	incarnations[inc] = now
+	d.ended.Add(inc, now)
 }
 
 // Refuses reports whether the request must be refused since it crashed at least
