Responses that are being read share a bound in bytes

Cause: each body has a limit of 8 MB, but 96 senders, and the calls for leases, each could hold one: 768 MB on a VM of 284 MB.

Change: oriolememory bounds the bytes of all responses that are being read by an eighth of the VM's memory, a third of it for one upstream; 64 KB are free for each. What exceeds it fails with an unknown outcome.

--- a/internal/oriolegateway/gateway.go
+++ b/internal/oriolegateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/orioleswitch/orioleswitch/internal/oriolerouter/oriolelog"
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
 	"github.com/orioleswitch/orioleswitch/internal/orioleupstream"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolestop"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
 	"github.com/orioleswitch/orioleswitch/platform"
@@ -35,8 +36,9 @@
 	logger := (&log.Logger{Handler: logHandler, Level: level}).WithField(oriolelog.FieldVM, settings.VM)
 	decodeErrors := &decodeErrorLog{log: logger, logged: make(map[string]bool)}
 	directory, closeDirectory := platform.New(settings.StoreAddr, decodeErrors.add)
-	client, closeClient := orioleupstream.New()
-	leaser, closeLeaser := platform.NewLeaser()
+	memory := oriolememory.New(settings.MemoryLimit, orioleupstream.MaxBodyBytes)
+	client, closeClient := orioleupstream.New(memory.Responses)
+	leaser, closeLeaser := platform.NewLeaser(memory.Responses)
 	closeClients := func() {
 		closeLeaser()
 		closeClient()
@@ -56,6 +58,7 @@
 	router.Add(logHandler)
 	router.Gauge("log_lines_dropped", func() any { return logHandler.Dropped() })
 	router.Gauge("directory_entries_refused", func() any { return decodeErrors.count.Load() })
+	router.Gauge("memory_responses", func() any { return memory.Responses.Usage() })
 	router.Gauge("store_calls", func() any { return directory.CallCounts() })
 	return &Gateway{router, logger}, func() {
 		closeRouter()
--- a/internal/oriolerouter/drain_test.go
+++ b/internal/oriolerouter/drain_test.go
@@ -73,8 +73,8 @@
 		CallerAddr: addrs[0], ReadinessAddr: addrs[1], PeerAddr: addrs[2], AdminAddr: addrs[3],
 	}
 	directory, closeDirectory := platform.New(settings.StoreAddr, func(string, string, error) {})
-	client, closeClient := orioleupstream.New()
-	leaser, closeLeaser := platform.NewLeaser()
+	client, closeClient := orioleupstream.New(nil)
+	leaser, closeLeaser := platform.NewLeaser(nil)
 	r, closeRouter, err := oriolerouter.New(settings, oriolerouter.Platform{
 		Directory: wrap(directory), Dialect: platform.Dialect{}, Leaser: leaser,
 		Sender: orioleupstream.NewSender(client, platform.Dialect{}, orioletimer.New()), CloseIdleConns: client.CloseIdleConns,
--- a/internal/orioleupstream/client.go
+++ b/internal/orioleupstream/client.go
@@ -11,12 +11,15 @@
 	"github.com/pkg/errors"
 
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
 )
 
 const (
-	// maxBodyBytes is the maximum size of a response body in bytes. Bodies are
+	// MaxBodyBytes is the maximum size of a response body in bytes. Bodies are
 	// buffered whole, so that a truncated one is never passed on as complete.
-	maxBodyBytes = 8 << 20
+	MaxBodyBytes = 8 << 20
+	// minBodyBuffer is the initial size in bytes of the buffer of a body.
+	minBodyBuffer = 4 << 10
 	// defaultIdleTimeout is how long an idle connection is kept if the upstream
 	// does not announce its own idle timeout.
 	defaultIdleTimeout = 4 * time.Second
@@ -45,14 +48,17 @@
 // incarnation, so that a connection opened to one incarnation is never used for
 // another.
 type Client struct {
-	mu sync.Mutex
+	// memory bounds the bodies that are being read.
+	memory *oriolememory.Pool
+	mu     sync.Mutex
 	// idle is nil once the client is closed.
 	idle map[oriole.Incarnation][]*conn
 }
 
-// New returns a client and a function that closes it.
-func New() (client *Client, cleanup func()) {
-	c := &Client{idle: make(map[oriole.Incarnation][]*conn)}
+// New returns a client and a function that closes it. The bodies that are being read are
+// bounded by memory; nil sets no bound.
+func New(memory *oriolememory.Pool) (client *Client, cleanup func()) {
+	c := &Client{memory: memory, idle: make(map[oriole.Incarnation][]*conn)}
 	return c, c.closeAll
 }
 
@@ -113,7 +119,9 @@
 		return nil, oriole.ErrExpired
 	}
 	reused := conn.used
-	resp, reusable, err := conn.exchange(ctx, call)
+	hold, release := c.memory.Hold(string(call.To.ID))
+	resp, reusable, err := conn.exchange(ctx, call, hold)
+	release()
 	reusable = reusable && !call.NewConn
 	if err != nil || !reusable {
 		conn.abort()
@@ -255,11 +263,34 @@
 }
 
 // readBody reads the body to its end. It does not close it: that would read an
-// endless one on, and the body holds no resource but the connection.
-func readBody(resp *http.Response) (body []byte, err error) {
-	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBodyBytes+1))
-	if err == nil && len(body) > maxBodyBytes {
+// endless one on, and the body holds no resource but the connection. The buffer grows
+// with what arrives, and is taken from the hold.
+func readBody(resp *http.Response, hold *oriolememory.Hold) (body []byte, err error) {
+	if resp.Body == http.NoBody {
+		return nil, nil
+	}
+	if resp.ContentLength > MaxBodyBytes {
 		return nil, ErrBodyTooLarge
 	}
-	return body, err
+	hold.Reset()
+	for {
+		if len(body) == cap(body) {
+			// One more byte than the maximum shows that a body exceeds it.
+			size := min(max(2*cap(body), minBodyBuffer), MaxBodyBytes+1)
+			if err := hold.Grow(int64(size - cap(body))); err != nil {
+				return nil, err
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := resp.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case len(body) > MaxBodyBytes:
+			return nil, ErrBodyTooLarge
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
 }
--- a/internal/orioleupstream/client_test.go
+++ b/internal/orioleupstream/client_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/orioleswitch/orioleswitch/internal/orioleupstream"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
 	"github.com/orioleswitch/orioleswitch/platform"
 )
@@ -77,7 +78,7 @@
 }
 
 func newSender(t *testing.T) *orioleupstream.Sender {
-	client, cleanup := orioleupstream.New()
+	client, cleanup := orioleupstream.New(nil)
 	t.Cleanup(cleanup)
 	return orioleupstream.NewSender(client, platform.Dialect{}, orioletimer.New())
 }
@@ -162,7 +163,7 @@
 		}
 		return okResponse(id)
 	})
-	client, cleanup := orioleupstream.New()
+	client, cleanup := orioleupstream.New(nil)
 	defer cleanup()
 	call := func(conn oriole.ConnID) (*orioleupstream.Response, error) {
 		req, err := http.NewRequest(http.MethodPost, "http://"+to.Addr.String()+"/x", nil)
@@ -240,7 +241,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			to, sent := newEndlessUpstream(t, test.prefix, test.endless)
-			client, closeClient := orioleupstream.New()
+			client, closeClient := orioleupstream.New(nil)
 			sender := orioleupstream.NewSender(client, platform.Dialect{}, orioletimer.New())
 			for _, id := range []string{"1", "2"} {
 				r := request(id)
@@ -339,7 +340,7 @@
 			}()
 		}
 	}()
-	client, cleanup := orioleupstream.New()
+	client, cleanup := orioleupstream.New(nil)
 	defer cleanup()
 	to := oriole.Upstream{ID: "i-1", Addr: netip.MustParseAddrPort(l.Addr().String()), StartedAt: time.Unix(1, 0)}
 	for range 3 {
@@ -361,7 +362,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer func() { _ = l.Close() }()
-	client, cleanup := orioleupstream.New()
+	client, cleanup := orioleupstream.New(nil)
 	defer cleanup()
 	req, err := http.NewRequest(http.MethodPost, "http://"+l.Addr().String()+"/x", nil)
 	is.NoErr(err)
@@ -623,3 +624,77 @@
 	is.Equal(resp.Outcome, oriole.OutcomeUnknown)
 	is.Equal(resp.Reason, oriole.ReasonCancelled)
 }
+
+// TestEndlessBodiesShareMemory guards against running out of memory because several
+// upstreams send bodies without end at once, and against refusing the responses of
+// others meanwhile.
+func TestEndlessBodiesShareMemory(t *testing.T) {
+	const (
+		size     = 24 << 20
+		faulty   = 6
+		calls    = 4
+		sent     = 3 << 20
+		held     = 4 << 20 // the buffer for it
+		maxTotal = size + (faulty*calls+1)*64<<10
+	)
+	is := is.New(t)
+	memory := oriolememory.NewPool(size, orioleupstream.MaxBodyBytes)
+	client, closeClient := orioleupstream.New(memory)
+	defer closeClient()
+	sender := orioleupstream.NewSender(client, platform.Dialect{}, orioletimer.New())
+	ctx, cancel := context.WithCancel(context.Background())
+	responses := make(chan oriole.Response, faulty*calls)
+	for i := range faulty {
+		to := newStallingUpstream(t, sent)
+		to.ID = oriole.ServerID(fmt.Sprint("i-", i))
+		for n := range calls {
+			r := request(fmt.Sprint(i, "-", n))
+			r.Deadline = time.Now().Add(time.Minute)
+			go func() { responses <- sender.Send(ctx, to, r) }()
+		}
+	}
+	refused := 0
+	for refused < faulty*calls-size/held {
+		is.Equal((<-responses).Reason, oriole.ReasonBadResponse)
+		refused++
+		is.True(memory.Usage().Used <= maxTotal)
+	}
+	sound := newUpstream(t, func(_ int, id string) string { return okResponse(id) })
+	is.Equal(sender.Send(ctx, sound, request("sound")).Outcome, oriole.OutcomeAnswered)
+	cancel()
+	for range faulty*calls - refused {
+		is.Equal((<-responses).Outcome, oriole.OutcomeUnknown)
+	}
+	is.Equal(memory.Usage().Used, int64(0))
+}
+
+// newStallingUpstream starts an upstream that sends a part of a body of n bytes, and then
+// waits until its caller closes the connection.
+func newStallingUpstream(t *testing.T, n int) oriole.Upstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				in := bufio.NewReader(conn)
+				req, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+req.Header.Get("X-Attempt-Id")+"\r\nX-Response-Signature: s\r\n\r\n"+strings.Repeat("a", n))
+				_, _ = io.Copy(io.Discard, req.Body)
+				_, _ = in.ReadByte()
+			}()
+		}
+	}()
+	return oriole.Upstream{ID: "i-1", Addr: netip.MustParseAddrPort(l.Addr().String()), StartedAt: time.Unix(1, 0)}
+}
--- a/internal/orioleupstream/conn.go
+++ b/internal/orioleupstream/conn.go
@@ -18,6 +18,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
 )
 
 const (
@@ -216,8 +217,8 @@
 }
 
 // exchange sends the call's request and reads its response. It skips responses that
-// do not match. reusable reports whether the connection may carry another request.
-func (c *conn) exchange(ctx context.Context, call Call) (resp *Response, reusable bool, err error) {
+// do not match. The body is taken from the hold. reusable reports whether the connection may carry another request.
+func (c *conn) exchange(ctx context.Context, call Call, hold *oriolememory.Hold) (resp *Response, reusable bool, err error) {
 	defer func() { err = errors.Wrap(err, "exchanging a request and its response") }()
 	// A deadline in the past interrupts pending reads and writes.
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
@@ -232,7 +233,7 @@
 		// response is read meanwhile.
 		go func() { written <- c.write(req) }()
 	}
-	resp, reusable, err = c.read(call)
+	resp, reusable, err = c.read(call, hold)
 	if err != nil {
 		return nil, false, err
 	}
@@ -273,7 +274,7 @@
 // including interim responses and those that belong to another request.
 const maxResponses = 3
 
-func (c *conn) read(call Call) (*Response, bool, error) {
+func (c *conn) read(call Call, hold *oriolememory.Hold) (*Response, bool, error) {
 	first := !c.used
 	c.used = true
 	for range maxResponses {
@@ -286,7 +287,7 @@
 		if call.Head != nil {
 			call.Head(resp)
 		}
-		body, err := readBody(resp)
+		body, err := readBody(resp, hold)
 		if err != nil {
 			return nil, false, err
 		}
--- a/internal/orioleupstream/read_test.go
+++ b/internal/orioleupstream/read_test.go
@@ -16,6 +16,8 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
 )
 
 // scriptedConn is a connection from which data can be read, and then end.
@@ -48,7 +50,7 @@
 			return unnamed || id == "7"
 		},
 		Unnamed: func() bool { return unnamed },
-	})
+	}, &oriolememory.Hold{})
 	return resp, len(data) - raw.data.Len() - c.in.Buffered(), err
 }
 
@@ -150,7 +152,7 @@
 				Request:        &http.Request{Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: "h", Path: "/"}},
 				MatchesRequest: func(*http.Response) bool { return true },
 				ExtraWait:      time.Millisecond,
-			})
+			}, &oriolememory.Hold{})
 			is.True(errors.Is(err, test.want))
 			is.Equal(reusable, test.want == nil)
 		})
--- /dev/null
+++ b/pkg/oriole/oriolememory/memory.go
@@ -0,0 +1,119 @@
+// Package oriolememory bounds the bytes that a gateway holds for the requests and
+// responses in progress, so that no upstream, service or peer can exhaust its memory.
+package oriolememory
+
+import (
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// ErrFull is returned when bytes would exceed a bound.
+var ErrFull = errors.New("too many bytes are held")
+
+const (
+	// freeBytes is what each hold may take in any case, in bytes: bodies of the usual
+	// size pass whatever others hold. The number of holds is bounded elsewhere.
+	freeBytes = 64 << 10
+	// responseDivisor and requestDivisor give the sizes of the pools as fractions of
+	// the memory of the VM. Bodies of own callers have a bound of their own, and the
+	// runtime needs as much again until garbage is collected.
+	responseDivisor = 8
+	requestDivisor  = 6
+	// ownerDivisor gives the share of a pool that one owner may take.
+	ownerDivisor = 3
+)
+
+// Budget divides the memory of a VM.
+type Budget struct {
+	// Responses bounds the responses that are read from upstreams, by upstream.
+	Responses *Pool
+	// Requests bounds the bodies that peers forward, by peer.
+	Requests *Pool
+}
+
+// New returns the budget of a VM with the memory in bytes. maxBody is the size of the
+// largest body in bytes, of which each owner may hold at least one.
+func New(memory, maxBody int64) *Budget {
+	return &Budget{Responses: NewPool(memory/responseDivisor, maxBody), Requests: NewPool(memory/requestDivisor, maxBody)}
+}
+
+// Pool bounds the bytes that are held together.
+type Pool struct {
+	size, perOwner int64
+
+	mu      sync.Mutex
+	used    int64
+	owners  map[string]int64
+	refused int64
+}
+
+// NewPool returns a pool of the size in bytes. Each owner may take a third of it, and at
+// least one body of maxBody bytes.
+func NewPool(size, maxBody int64) *Pool {
+	return &Pool{size: size, perOwner: max(size/ownerDivisor, maxBody), owners: make(map[string]int64)}
+}
+
+// Usage is the state of a pool.
+type Usage struct {
+	Used    int64 `json:"used"`
+	Size    int64 `json:"size"`
+	Refused int64 `json:"refused"`
+}
+
+// Usage returns the bytes that are held, the pool's size in bytes, and the number of
+// times that bytes were refused.
+func (p *Pool) Usage() Usage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Usage{p.used, p.size, p.refused}
+}
+
+// Hold is what one request or response takes of a pool. A hold is used by one goroutine
+// at a time.
+type Hold struct {
+	pool  *Pool
+	owner string
+	n     int64
+}
+
+// Hold returns a hold of the owner without any bytes, and a function that gives all of
+// its bytes back. A nil pool sets no bound.
+func (p *Pool) Hold(owner string) (h *Hold, release func()) {
+	h = &Hold{pool: p, owner: owner}
+	return h, h.Reset
+}
+
+// Grow takes n more bytes. It takes none and returns [ErrFull] if they exceed the share
+// of the owner or the size of the pool.
+func (h *Hold) Grow(n int64) error {
+	p := h.pool
+	if p == nil {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h.n+n > freeBytes && (p.used+n > p.size || p.owners[h.owner]+n > p.perOwner) {
+		p.refused++
+		return ErrFull
+	}
+	h.n += n
+	p.used += n
+	p.owners[h.owner] += n
+	return nil
+}
+
+// Reset gives all bytes back.
+func (h *Hold) Reset() {
+	p := h.pool
+	if p == nil || h.n == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.used -= h.n
+	if p.owners[h.owner] -= h.n; p.owners[h.owner] == 0 {
+		delete(p.owners, h.owner)
+	}
+	h.n = 0
+}
--- /dev/null
+++ b/pkg/oriole/oriolememory/memory_test.go
@@ -0,0 +1,81 @@
+package oriolememory_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
+)
+
+func ExamplePool() {
+	p := oriolememory.NewPool(30<<20, 8<<20)
+	h, release := p.Hold("upstream a")
+	fmt.Println(h.Grow(8 << 20))
+	fmt.Println(h.Grow(4 << 20))
+	release()
+	fmt.Println(h.Grow(4 << 20))
+	// Output:
+	// <nil>
+	// too many bytes are held
+	// <nil>
+}
+
+// TestOwnersLeaveRoom guards against one owner taking what others need, and against
+// refusing bodies of the usual size because of it.
+func TestOwnersLeaveRoom(t *testing.T) {
+	is := is.New(t)
+	p := oriolememory.NewPool(30<<20, 8<<20)
+	hog := func(owner string) (taken int64) {
+		for {
+			h, _ := p.Hold(owner)
+			if h.Grow(1<<20) != nil {
+				return taken
+			}
+			taken += 1 << 20
+		}
+	}
+	is.Equal(hog("a"), int64(10<<20))
+	is.Equal(hog("b"), int64(10<<20))
+	small, release := p.Hold("a")
+	is.NoErr(small.Grow(64 << 10))
+	release()
+	is.Equal(hog("c"), int64(10<<20))
+	h, _ := p.Hold("d")
+	is.NoErr(h.Grow(64 << 10))
+	is.Equal(h.Grow(1), oriolememory.ErrFull)
+}
+
+// TestPoolIsEmptyAfterReleases checks that any order of calls gives all bytes back, and
+// never exceeds the size by more than what each hold may take in any case.
+func TestPoolIsEmptyAfterReleases(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const size, maxHolds, free = 1 << 20, 8, 64 << 10
+		p := oriolememory.NewPool(size, 1<<18)
+		var holds []*oriolememory.Hold
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			i := rapid.IntRange(0, maxHolds-1).Draw(t, "hold")
+			if i >= len(holds) {
+				h, _ := p.Hold(fmt.Sprint(i % 3))
+				holds = append(holds, h)
+				continue
+			}
+			if rapid.Bool().Draw(t, "reset") {
+				holds[i].Reset()
+				continue
+			}
+			_ = holds[i].Grow(int64(rapid.IntRange(0, 1<<19).Draw(t, "bytes")))
+			if used := p.Usage().Used; used > size+maxHolds*free {
+				t.Fatalf("%d bytes held of %d", used, size)
+			}
+		}
+		for _, h := range holds {
+			h.Reset()
+		}
+		if used := p.Usage().Used; used != 0 {
+			t.Fatalf("%d bytes held after all releases", used)
+		}
+	})
+}
