Bodies that come from peers share a bound in bytes

Requests at sound upstreams were lost, and their gateways killed for their memory, while others were slow to take bodies of 4 MB (review case 2): nothing bounded the bodies that all peers forward to one dispatcher.

Change: such bodies take their bytes from a pool of a sixth of the VM's memory, a third of it for one peer, until they are answered. What exceeds it is refused as not run. Responses of peers count as well.

--- a/internal/oriolegateway/gateway.go
+++ b/internal/oriolegateway/gateway.go
@@ -50,6 +50,7 @@
 		Leaser:         leaser,
 		Sender:         orioleupstream.NewSender(client, platform.Dialect{}, orioletimer.New()),
 		CloseIdleConns: client.CloseIdleConns,
+		PeerMemory:     memory.Peers,
 	}, logger, oriolerouter.WithClock(clock))
 	if err != nil {
 		closeClients()
@@ -59,6 +60,7 @@
 	router.Gauge("log_lines_dropped", func() any { return logHandler.Dropped() })
 	router.Gauge("directory_entries_refused", func() any { return decodeErrors.count.Load() })
 	router.Gauge("memory_responses", func() any { return memory.Responses.Usage() })
+	router.Gauge("memory_peers", func() any { return memory.Peers.Usage() })
 	router.Gauge("store_calls", func() any { return directory.CallCounts() })
 	return &Gateway{router, logger}, func() {
 		closeRouter()
--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -13,6 +13,7 @@
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleliveness"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolering"
 )
 
@@ -67,6 +68,8 @@
 	pending map[uint64]*pendingRequest
 	// running holds the cancel functions of the peer's requests that run here.
 	running map[uint64]context.CancelFunc
+	// memory bounds the bodies that come from all peers.
+	memory *oriolememory.Pool
 	// partials holds incomplete bodies by request number, and bufferedBytes is
 	// their total size.
 	partials      map[uint64]*partialBody
@@ -82,11 +85,12 @@
 	response  chan oriole.Response
 }
 
-func newLink(peer oriole.GatewayID, conn *websocket.Conn) *link {
+func newLink(peer oriole.GatewayID, conn *websocket.Conn, memory *oriolememory.Pool) *link {
 	conn.SetReadLimit(oriolemessage.MaxFrameSize)
 	return &link{
 		peer:     peer,
 		conn:     conn,
+		memory:   memory,
 		out:      oriolering.New[*outgoing](ringSize),
 		pending:  make(map[uint64]*pendingRequest),
 		running:  make(map[uint64]context.CancelFunc),
@@ -234,7 +238,8 @@
 // deliver passes a response to the pending request with the same number and
 // request ID. It reports false if there is none.
 func (l *link) deliver(message *oriolemessage.Response) bool {
-	body, complete := l.assemble(message.Number, message.Body)
+	body, release, complete := l.assemble(message.Number, message.Body)
+	defer release()
 	l.mu.Lock()
 	req := l.pending[message.Number]
 	if req == nil || req.id != message.Id {
@@ -270,6 +275,7 @@
 		cancel()
 	}
 	clear(l.running)
+	l.dropPartials()
 }
 
 // failIdempotent fails the idempotent requests that wait for an unresponsive
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -20,6 +20,7 @@
 	"github.com/orioleswitch/orioleswitch/internal/orioleupstream"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleliveness"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolestop"
 )
 
@@ -68,6 +69,8 @@
 	// BootClock is the clock by which frames state when they were sent. It goes on
 	// while this machine is suspended.
 	BootClock oriole.Clock
+	// Memory bounds the bodies that come from peers; nil sets no bound.
+	Memory *oriolememory.Pool
 	// Receiver may be set after New, before Serve.
 	Receiver Receiver
 }
@@ -233,7 +236,7 @@
 	p.cfg.Receiver.HandlePeer(ctx, member)
 	// This link carries the peer's requests and the responses to them. This
 	// gateway's own requests go over the link that it dials itself.
-	l := newLink(member.ID, conn)
+	l := newLink(member.ID, conn, p.cfg.Memory)
 	// The peer may send requests at once, unless it learns of a drain.
 	_, heartbeat := p.tick(p.cfg.Timers.Now())
 	l.out.Offer(&outgoing{frame: p.heartbeatFrame(heartbeat)})
@@ -284,18 +287,29 @@
 	}
 }
 
+// bodyRefusedRetryAfter is the retry delay of a request whose body exceeds what is held
+// for peers.
+const bodyRefusedRetryAfter = 500 * time.Millisecond
+
 // handleRequest passes on a request of the peer. What it was delayed is taken off the time
 // that its caller waits.
 func (p *Links) handleRequest(ctx context.Context, l *link, forwarded *oriolemessage.Request, delay time.Duration) {
 	l.unanswered.Add(1)
 	ctx, cancel := context.WithCancel(ctx)
 	l.startServing(forwarded.Number, cancel)
-	reply := func(resp oriole.Response) { p.respond(ctx, l, forwarded, resp) }
-	body, complete := l.assemble(forwarded.Number, forwarded.Body)
+	body, release, complete := l.assemble(forwarded.Number, forwarded.Body)
+	reply := func(resp oriole.Response) {
+		release()
+		p.respond(ctx, l, forwarded, resp)
+	}
 	forwarded.Body = body
 	r, err := forwarded.ToRequest(p.cfg.Timers.Now().Add(-delay))
 	if err == nil && !complete {
-		err = errors.Wrap(oriolemessage.ErrMalformed, "body exceeds the size limit")
+		p.cfg.Metrics.Add("link_bodies_refused", 1)
+		refusal := oriole.NotRunResponse(oriole.ReasonQueueFull)
+		refusal.RetryAfter = bodyRefusedRetryAfter
+		reply(refusal)
+		return
 	}
 	if err != nil {
 		p.RejectFrame(l.peer, forwarded.Id, err)
@@ -448,7 +462,7 @@
 		p.cfg.Metrics.Add("link_dials_failed", 1)
 		return false
 	}
-	l := newLink(d.to.ID, conn)
+	l := newLink(d.to.ID, conn, p.cfg.Memory)
 	self, heartbeat := p.cfg.Self, p.cfg.Receiver.Heartbeat()
 	self.Draining = heartbeat.Draining
 	l.out.Offer(&outgoing{frame: &oriolemessage.Frame{Hello: oriolemessage.FromMember(self)}})
--- a/internal/oriolerouter/oriolelink/part.go
+++ b/internal/oriolerouter/oriolelink/part.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
 )
 
 const (
@@ -58,6 +59,10 @@
 type partialBody struct {
 	body      []byte
 	startedAt time.Time
+	// hold is what the body takes of the memory for bodies of peers. release gives it
+	// back.
+	hold    *oriolememory.Hold
+	release func()
 	// dropped is set when a part was discarded: the request or response that
 	// ends the body must be rejected.
 	dropped bool
@@ -76,11 +81,12 @@
 	partial := l.partials[part.Number]
 	if partial == nil {
 		partial = &partialBody{startedAt: now}
+		partial.hold, partial.release = l.memory.Hold(string(l.peer))
 		l.partials[part.Number] = partial
 	}
 	switch {
 	case partial.dropped:
-	case l.bufferedBytes+len(part.Body) > maxBodySize:
+	case l.bufferedBytes+len(part.Body) > maxBodySize, partial.hold.Grow(int64(len(part.Body))) != nil:
 		l.dropBody(partial)
 	default:
 		partial.body = append(partial.body, part.Body...)
@@ -101,19 +107,36 @@
 // dropBody frees the buffered parts of a body. l.mu must be held.
 func (l *link) dropBody(partial *partialBody) {
 	l.bufferedBytes -= len(partial.body)
+	partial.release()
 	partial.body, partial.dropped = nil, true
 }
 
-// assemble returns the body that ends with tail, and whether it is complete.
-// The buffered parts are removed.
-func (l *link) assemble(number uint64, tail []byte) (body []byte, complete bool) {
+// assemble returns the body that ends with tail, and whether it is complete. The buffered
+// parts are removed. release gives back the memory that is held for the body.
+func (l *link) assemble(number uint64, tail []byte) (body []byte, release func(), complete bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	partial := l.partials[number]
 	if partial == nil {
-		return tail, true
+		partial = &partialBody{}
+		partial.hold, partial.release = l.memory.Hold(string(l.peer))
 	}
 	delete(l.partials, number)
 	l.bufferedBytes -= len(partial.body)
-	return append(partial.body, tail...), !partial.dropped
+	if partial.hold.Grow(int64(len(tail))) != nil {
+		partial.release()
+		return nil, partial.release, false
+	}
+	if partial.body == nil {
+		return tail, partial.release, !partial.dropped
+	}
+	return append(partial.body, tail...), partial.release, !partial.dropped
+}
+
+// dropPartials frees all incomplete bodies of a link that has ended. l.mu must be held.
+func (l *link) dropPartials() {
+	for _, partial := range l.partials {
+		l.dropBody(partial)
+	}
+	clear(l.partials)
 }
--- a/internal/oriolerouter/oriolelink/part_test.go
+++ b/internal/oriolerouter/oriolelink/part_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
 )
 
 var startTime = time.Unix(1_800_000_000, 0)
@@ -41,7 +43,7 @@
 		is := is.New(t)
 		l := newTestLink()
 		b := testBody(size)
-		got, complete := l.assemble(1, addParts(l, 1, b, startTime))
+		got, _, complete := l.assemble(1, addParts(l, 1, b, startTime))
 		is.True(complete)
 		is.True(bytes.Equal(got, b))
 		is.Equal(l.bufferedBytes, 0)
@@ -55,7 +57,7 @@
 	for _, size := range []int{maxBodySize + 2*partSize, maxBodySize + 5*partSize, 2*maxBodySize + 3*partSize} {
 		is := is.New(t)
 		l := newTestLink()
-		_, complete := l.assemble(1, addParts(l, 1, testBody(size), startTime))
+		_, _, complete := l.assemble(1, addParts(l, 1, testBody(size), startTime))
 		is.True(!complete)
 		is.Equal(l.bufferedBytes, 0)
 	}
@@ -73,7 +75,7 @@
 	}
 	count := 0
 	for number, tail := range tails {
-		got, complete := l.assemble(uint64(number), tail)
+		got, _, complete := l.assemble(uint64(number), tail)
 		if complete {
 			count++
 			is.True(bytes.Equal(got, b))
@@ -91,10 +93,10 @@
 	tail := addParts(l, 1, testBody(maxBodySize), startTime)
 	later := startTime.Add(maxPartialAge + time.Second)
 	b := testBody(maxBodySize)
-	got, complete := l.assemble(2, addParts(l, 2, b, later))
+	got, _, complete := l.assemble(2, addParts(l, 2, b, later))
 	is.True(complete)
 	is.True(bytes.Equal(got, b))
-	_, complete = l.assemble(1, tail)
+	_, _, complete = l.assemble(1, tail)
 	is.True(!complete) // its first parts were dropped
 }
 
@@ -120,3 +122,37 @@
 	is.True(l.deliver(&oriolemessage.Response{Number: 1, Id: "r", Body: tail}))
 	is.Equal((<-req.response).Outcome, oriole.OutcomeUnknown)
 }
+
+// TestBodiesOfPeersShareMemory guards against running out of memory because many peers
+// send bodies at once, and against a leak of what was held for them.
+func TestBodiesOfPeersShareMemory(t *testing.T) {
+	is := is.New(t)
+	memory := oriolememory.NewPool(4*partSize*3, 4*partSize)
+	var releases []func()
+	var ended []*link
+	complete := 0
+	for i := range 4 {
+		for range 2 {
+			l := newTestLink()
+			l.peer, l.memory = oriole.GatewayID(fmt.Sprint(i)), memory
+			b := testBody(4 * partSize)
+			got, release, ok := l.assemble(1, addParts(l, 1, b, startTime))
+			if ok {
+				is.True(bytes.Equal(got, b))
+				complete++
+			}
+			releases = append(releases, release)
+			addParts(l, 2, testBody(2*partSize), startTime)
+			ended = append(ended, l)
+		}
+	}
+	is.Equal(complete, 3) // a share for each of three peers
+	is.Equal(memory.Usage().Used, int64(4*partSize*3))
+	for _, release := range releases {
+		release()
+	}
+	for _, l := range ended {
+		l.failPending()
+	}
+	is.Equal(memory.Usage().Used, int64(0))
+}
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -26,6 +26,7 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleassign"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolecrash"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolestop"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
 )
@@ -65,6 +66,8 @@
 	// CloseIdleConns closes idle connections to upstream incarnations for which
 	// keep returns false.
 	CloseIdleConns func(keep func(oriole.Incarnation) bool)
+	// PeerMemory bounds the bodies that come from other gateways; nil sets no bound.
+	PeerMemory *oriolememory.Pool
 }
 
 // Router is a gateway. It implements suture.Service.
@@ -164,6 +167,7 @@
 	bootClock := orioletimer.NewBootClock(r.timers)
 	r.links = oriolelink.New(oriolelink.Config{
 		Self: r.self, Metrics: r.metrics, Timers: r.timers, BootClock: bootClock, Log: r.log, Clock: r.clock, Secret: r.settings.Secret,
+		Memory: r.platform.PeerMemory,
 	}, spec)
 	r.links.SetReceiver(receiver{r})
 	r.dispatcher = orioledispatcher.New(orioledispatcher.Config{
--- a/pkg/oriole/oriolememory/memory.go
+++ b/pkg/oriole/oriolememory/memory.go
@@ -15,11 +15,11 @@
 	// freeBytes is what each hold may take in any case, in bytes: bodies of the usual
 	// size pass whatever others hold. The number of holds is bounded elsewhere.
 	freeBytes = 64 << 10
-	// responseDivisor and requestDivisor give the sizes of the pools as fractions of
-	// the memory of the VM. Bodies of own callers have a bound of their own, and the
+	// responseDivisor and peerDivisor give the sizes of the pools as fractions of the
+	// memory of the VM. Bodies of own callers have a bound of their own, and the
 	// runtime needs as much again until garbage is collected.
 	responseDivisor = 8
-	requestDivisor  = 6
+	peerDivisor     = 6
 	// ownerDivisor gives the share of a pool that one owner may take.
 	ownerDivisor = 3
 )
@@ -28,14 +28,14 @@
 type Budget struct {
 	// Responses bounds the responses that are read from upstreams, by upstream.
 	Responses *Pool
-	// Requests bounds the bodies that peers forward, by peer.
-	Requests *Pool
+	// Peers bounds the bodies of requests and responses that come from peers, by peer.
+	Peers *Pool
 }
 
 // New returns the budget of a VM with the memory in bytes. maxBody is the size of the
 // largest body in bytes, of which each owner may hold at least one.
 func New(memory, maxBody int64) *Budget {
-	return &Budget{Responses: NewPool(memory/responseDivisor, maxBody), Requests: NewPool(memory/requestDivisor, maxBody)}
+	return &Budget{Responses: NewPool(memory/responseDivisor, maxBody), Peers: NewPool(memory/peerDivisor, maxBody)}
 }
 
 // Pool bounds the bytes that are held together.
