Routes are matched with the path as it is sent

Change: one function, orioleroute.PathOf, returns the path of a target without decoding it, and the route's prefix begins it.

--- a/internal/oriolerouter/orioleingress/http.go
+++ b/internal/oriolerouter/orioleingress/http.go
@@ -132,7 +132,7 @@
 	if headerBytes(r) > cfg.Limits.MaxHeaderBytes && cfg.Limits.MaxHeaderBytes > 0 {
 		return request, route, &rejection{status: http.StatusRequestHeaderFieldsTooLarge}, nil
 	}
-	route, service, found := h.table(cfg).Find(r.Host, r.URL.Path)
+	route, service, found := h.table(cfg).Find(r.Host, orioleroute.PathOf(r.RequestURI))
 	if !found {
 		return request, route, &rejection{status: http.StatusNotFound}, nil
 	}
--- a/pkg/oriole/orioleroute/route.go
+++ b/pkg/oriole/orioleroute/route.go
@@ -52,12 +52,13 @@
 	return oriole.Route{}, "", false
 }
 
-// hostname returns the host of an authority in lower case, without the port.
+// hostname returns the host of an authority in lower case, without the port and the dot
+// that ends a fully qualified name.
 func hostname(authority string) string {
 	if host, _, err := net.SplitHostPort(authority); err == nil {
 		authority = host
 	}
-	return strings.ToLower(authority)
+	return strings.TrimSuffix(strings.ToLower(authority), ".")
 }
 
 // nextService returns the service of the next request by smooth weighted round
--- a/pkg/oriole/orioleroute/route_test.go
+++ b/pkg/oriole/orioleroute/route_test.go
@@ -29,6 +29,8 @@
 		{"a.example", "/x/y", "short"},
 		{"a.example:8080", "/x/y/", "long"},
 		{"A.EXAMPLE", "/x/", "short"},
+		{"a.example.", "/x/", "short"},
+		{"a.example.:8080", "/x/", "short"},
 		{"b.example", "/x/y/1", "other"},
 		{"a.example", "/x", ""},
 		{"a.example", "/z/", ""},
