A dispatcher that reaches another upstream of a pool keeps its requests

A refused connection made the forwarder ask the pool's next dispatcher for a second, also if the first one reached the pool's other upstreams. Two dispatchers then share the slots and the limits of these upstreams, without knowing of each other.

Only a pool without any upstream in reach gives its requests back now. TestReachRefused, "another upstream is reached", fails before.

--- a/pkg/oriole/oriolepool/pool.go
+++ b/pkg/oriole/oriolepool/pool.go
@@ -322,7 +322,7 @@
 	}
 	delete(p.running, id)
 	j.server.finish(now, response, now.Sub(j.startedAt))
-	if response.Refused && j.server.unreachable {
+	if response.Refused && p.unreachable(now) {
 		response.Reason = oriole.ReasonUnreachable
 	}
 	if p.unreachable(now) {
--- a/pkg/oriole/oriolepool/reach_test.go
+++ b/pkg/oriole/oriolepool/reach_test.go
@@ -95,4 +95,15 @@
 		unreachable, _ := h.Reach()
 		is.Equal(unreachable, 0)
 	})
+	t.Run("another upstream is reached", func(t *testing.T) {
+		is := is.New(t)
+		h := newHarness(server("a"), server("b"))
+		h.arrive(0, 0, 0, 5*time.Second)
+		h.Finish(atMs(10), 0, refused)
+		h.collect()
+		// Another dispatcher would share the limits of the pool's upstreams.
+		is.Equal(h.responses[0].Reason, oriole.ReasonConnection)
+		unreachable, _ := h.Reach()
+		is.Equal(unreachable, 1)
+	})
 }
