Fields that are not UTF-8 pass between gateways

Responses with such a field were lost after their requests had run.

Change: strings are decoded byte for byte. Byte strings are accepted in their place too, so that a later version may send them; encoding stays, as gateways of two versions run beside one another during an upgrade.

TestBytesSurviveEncoding fails before; FuzzRequestBytes is new.

--- a/internal/oriolemessage/codec.go
+++ b/internal/oriolemessage/codec.go
@@ -22,13 +22,18 @@
 var (
 	encoder = mustMode(cbor.EncOptions{Sort: cbor.SortNone}.EncMode())
 	decoder = mustMode(cbor.DecOptions{
-		DupMapKey:         cbor.DupMapKeyEnforcedAPF,
-		IndefLength:       cbor.IndefLengthForbidden,
-		TagsMd:            cbor.TagsForbidden,
-		ExtraReturnErrors: cbor.ExtraDecErrorUnknownField,
-		MaxArrayElements:  maxArrayElements,
-		MaxMapPairs:       maxMapPairs,
-		MaxNestedLevels:   maxNestedLevels,
+		// Paths and header values of callers and upstreams need not be UTF-8. Byte
+		// strings are accepted for strings as well, so that a later version may
+		// send them while gateways are upgraded one by one.
+		UTF8:               cbor.UTF8DecodeInvalid,
+		ByteStringToString: cbor.ByteStringToStringAllowed,
+		DupMapKey:          cbor.DupMapKeyEnforcedAPF,
+		IndefLength:        cbor.IndefLengthForbidden,
+		TagsMd:             cbor.TagsForbidden,
+		ExtraReturnErrors:  cbor.ExtraDecErrorUnknownField,
+		MaxArrayElements:   maxArrayElements,
+		MaxMapPairs:        maxMapPairs,
+		MaxNestedLevels:    maxNestedLevels,
 	}.DecMode())
 )
 
--- a/internal/oriolemessage/codec_test.go
+++ b/internal/oriolemessage/codec_test.go
@@ -226,3 +226,53 @@
 	is.NoErr(err)
 	is.Equal(received, member)
 }
+
+// TestBytesSurviveEncoding guards against losing requests and responses between gateways
+// whose path or header fields are not UTF-8.
+func TestBytesSurviveEncoding(t *testing.T) {
+	is := is.New(t)
+	const odd = "J\xe9r\xf4me \xff\x00"
+	r := oriole.Request{
+		ID: odd, Host: odd, Method: "POST", Target: "/a/" + odd, Header: http.Header{"X-Groom": {odd, "plain"}}, Body: []byte(odd),
+		Pool: oriole.PoolID{Service: "s", Zone: "z"}, IdempotencyKey: odd, Deadline: now.Add(time.Second), SoftDeadline: now,
+	}
+	got, err := roundTrip(t, oriolemessage.Frame{Request: oriolemessage.FromRequest(1, r, now)}).Request.ToRequest(now)
+	is.NoErr(err)
+	r.Service = "s"
+	is.Equal(got, r)
+	resp := oriole.Response{Outcome: oriole.OutcomeAnswered, Status: 200, Header: http.Header{"X-Groom": {odd}}, Body: []byte(odd)}
+	answered, err := roundTrip(t, oriolemessage.Frame{Response: oriolemessage.FromResponse(1, odd, resp)}).Response.ToResponse()
+	is.NoErr(err)
+	is.Equal(answered, resp)
+}
+
+// FuzzRequestBytes checks that what one gateway encodes another decodes to the same bytes.
+func FuzzRequestBytes(f *testing.F) {
+	f.Add("POST", "/a/%2F", "h", "X-Groom", "J\xe9r\xf4me", "id")
+	f.Add("GET", "/\xff", "\xff", "A", "", "\x80")
+	f.Fuzz(func(t *testing.T, method, target, host, name, value, id string) {
+		if method == "" {
+			return
+		}
+		r := oriole.Request{ID: id, Host: host, Method: method, Target: target, Header: http.Header{name: {value}}, Pool: oriole.PoolID{Service: "s"}}
+		frame := oriolemessage.Frame{Request: oriolemessage.FromRequest(1, r, now)}
+		data, err := oriolemessage.Encode(&frame)
+		if errors.Is(err, oriolemessage.ErrFrameTooLarge) {
+			return
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		received, err := oriolemessage.Decode[oriolemessage.Frame](data)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := received.Request.ToRequest(now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got.ID != id || got.Host != host || got.Method != method || got.Target != target || got.Header[name][0] != value {
+			t.Fatalf("%+v is decoded as %+v", r, got)
+		}
+	})
+}
