An idempotency key belongs to one caller and one body

Change: the key of the cache takes in a digest of Authorization and Cookie.

TestKeyIsOneCallersOwn is new; with the former key its rows on other credentials and bodies can't hold.

--- a/internal/oriolecapacity/measure.go
+++ b/internal/oriolecapacity/measure.go
@@ -363,8 +363,8 @@
 	return retainedHeap(func() any {
 		cache := orioleidempotency.New()
 		for i := range keys {
-			key := orioleidempotency.KeyOf(&oriole.Request{Service: service, IdempotencyKey: fmt.Sprintf("0123456789abcdef-%019d", i)})
-			cache.Begin(start, key, orioleidempotency.JobID(i))
+			key, body := orioleidempotency.KeyOf(&oriole.Request{Service: service, IdempotencyKey: fmt.Sprintf("0123456789abcdef-%019d", i)})
+			_, _, _ = cache.Begin(start, key, body, orioleidempotency.JobID(i))
 			cache.End(start, key, orioleidempotency.JobID(i), oriole.Response{Outcome: oriole.OutcomeAnswered, Status: http.StatusOK, Body: make([]byte, 200)})
 		}
 		return cache
--- a/internal/oriolerouter/orioledispatcher/dispatcher.go
+++ b/internal/oriolerouter/orioledispatcher/dispatcher.go
@@ -15,6 +15,7 @@
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolecrash"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleidempotency"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolepool"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolering"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolestop"
@@ -115,6 +116,8 @@
 	// to which it was sent.
 	fingerprint oriolecrash.Fingerprint
 	incarnation oriole.Incarnation
+	// key is set for a request that must run at most once for its idempotency key.
+	key orioleidempotency.Key
 }
 
 // sendJob is a request for a send duty to send.
--- a/internal/oriolerouter/orioledispatcher/duplicate.go
+++ b/internal/oriolerouter/orioledispatcher/duplicate.go
@@ -15,20 +15,25 @@
 
 // deduplicate reports whether the request is a duplicate: its idempotency key is
 // known from an earlier request. A duplicate gets the earlier request's response,
-// at once or when there is one.
+// at once or when there is one. One whose key is that of another request is refused.
 func (d *poolDuty) deduplicate(now time.Time, req *pendingRequest) bool {
 	if !req.atMostOnce() {
 		return false
 	}
-	response, joined := d.idempotency.Begin(now, orioleidempotency.KeyOf(&req.request), orioleidempotency.JobID(req.job))
+	key, body := orioleidempotency.KeyOf(&req.request)
+	req.key = key
+	response, joined, err := d.idempotency.Begin(now, key, body, orioleidempotency.JobID(req.job))
 	switch {
+	case err != nil:
+		d.dispatcher.cfg.Metrics.Add("pool_keys_reused", 1)
+		d.reply(req, oriole.NotRunResponse(oriole.ReasonKeyReused))
 	case joined:
 		d.duplicates[orioleidempotency.JobID(req.job)] = req
 	case response != nil:
 		d.dispatcher.cfg.Metrics.Add("pool_repeated", 1)
 		d.reply(req, *response)
 	}
-	return joined || response != nil
+	return joined || response != nil || err != nil
 }
 
 // respond replies to the request and to its duplicates.
@@ -37,7 +42,7 @@
 	if !req.atMostOnce() {
 		return
 	}
-	for _, job := range d.idempotency.End(now, orioleidempotency.KeyOf(&req.request), orioleidempotency.JobID(req.job), response) {
+	for _, job := range d.idempotency.End(now, req.key, orioleidempotency.JobID(req.job), response) {
 		if duplicate := d.duplicates[job]; duplicate != nil {
 			delete(d.duplicates, job)
 			d.reply(duplicate, response)
--- a/internal/oriolerouter/orioleingress/http.go
+++ b/internal/oriolerouter/orioleingress/http.go
@@ -315,6 +315,8 @@
 // 503 means that the request has not run and will not run.
 func statusFor(resp oriole.Response) int {
 	switch {
+	case resp.Reason == oriole.ReasonKeyReused:
+		return http.StatusUnprocessableEntity
 	case resp.Outcome == oriole.OutcomeNotRun:
 		return http.StatusServiceUnavailable
 	case resp.Reason == oriole.ReasonDeadline:
--- a/internal/oriolerouter/orioleingress/path_test.go
+++ b/internal/oriolerouter/orioleingress/path_test.go
@@ -22,3 +22,10 @@
 	is.Equal(dispatcher.requests[0].Service, oriole.ServiceName("s"))
 	is.Equal(dispatcher.requests[0].Target, "/a/tow%2F7?q=/a/tow/")
 }
+
+// TestReusedKeyIsUnprocessable checks the status of a request whose idempotency key
+// belongs to another one: 503 would invite the caller to send it again.
+func TestReusedKeyIsUnprocessable(t *testing.T) {
+	is := is.New(t)
+	is.Equal(statusFor(oriole.NotRunResponse(oriole.ReasonKeyReused)), 422)
+}
--- a/internal/orioletrace/trace.go
+++ b/internal/orioletrace/trace.go
@@ -140,6 +140,8 @@
 		return "dispatcher " + end.Fields["keeper"] + " could not be reached" + describeEvents(related, isLifecycle)
 	case oriole.ReasonUnreachable.String():
 		return "no gateway that was asked could connect to upstream " + upstreamOf(end) + "; the request has not run"
+	case oriole.ReasonKeyReused.String():
+		return "the caller has used the idempotency key for a request with another body; this one was rejected and has not run"
 	case oriole.ReasonPaused.String():
 		return "upstream " + upstreamOf(end) + " had asked to be left alone, and the request could not wait for the end of that time; it has not run, and the caller was asked to retry after " +
 			end.Fields["retry"] + describeEvents(related, func(message string) bool { return message == oriolelog.MessageUpstreamPaused })
--- a/pkg/oriole/orioleidempotency/cache.go
+++ b/pkg/oriole/orioleidempotency/cache.go
@@ -4,9 +4,12 @@
 package orioleidempotency
 
 import (
+	"crypto/sha256"
+	"fmt"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+	"github.com/pkg/errors"
 
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 )
@@ -26,20 +29,41 @@
 // JobID identifies an accepted request.
 type JobID uint64
 
-// Key is equal for requests that are duplicates of each other. It holds more than
-// the idempotency key, since callers may use one idempotency key for different
-// operations.
+// ErrReused is returned for a request whose key belongs to a request with another body.
+var ErrReused = errors.New("idempotency key is used for another request")
+
+// Digest is a cryptographic hash: callers can't choose values with the same one.
+type Digest [sha256.Size]byte
+
+// Key identifies an action of a caller. It holds more than the idempotency key, since
+// callers may use one idempotency key for different operations, and different callers
+// the same one.
 type Key struct {
 	Service        oriole.ServiceName
 	Host           string
 	Method         string
 	Target         string
 	IdempotencyKey string
+	// Credentials is the digest of the fields that name the caller to the upstream.
+	Credentials Digest
 }
 
-// KeyOf returns the key of the request.
-func KeyOf(r *oriole.Request) Key {
-	return Key{r.Service, r.Host, r.Method, r.Target, r.IdempotencyKey}
+// credentialFields are the header fields that name a caller.
+var credentialFields = [...]string{"Authorization", "Cookie"}
+
+// KeyOf returns the key of the request, and the digest of its body.
+func KeyOf(r *oriole.Request) (key Key, body Digest) {
+	credentials := sha256.New()
+	for _, name := range credentialFields {
+		for _, value := range r.Header.Values(name) {
+			// A length before each part keeps two lists of parts from having the
+			// same digest.
+			_, _ = fmt.Fprintf(credentials, "%s %d %s", name, len(value), value)
+		}
+	}
+	key = Key{Service: r.Service, Host: r.Host, Method: r.Method, Target: r.Target, IdempotencyKey: r.IdempotencyKey}
+	credentials.Sum(key.Credentials[:0])
+	return key, sha256.Sum256(r.Body)
 }
 
 // Cache holds the responses to completed requests and tracks running ones.
@@ -52,11 +76,13 @@
 // inFlight is a running request, and the duplicates that wait for its response.
 type inFlight struct {
 	job    JobID
+	body   Digest
 	joined []JobID
 }
 
 type result struct {
 	response oriole.Response
+	body     Digest
 	at       time.Time
 }
 
@@ -74,21 +100,28 @@
 
 // Begin registers a request before it runs. If it duplicates a completed one,
 // Begin returns the cached response. If it duplicates a running one, joined is
-// true, and [Cache.End] of that one will return the job. Otherwise the caller must
-// run it.
-func (c *Cache) Begin(now time.Time, key Key, job JobID) (response *oriole.Response, joined bool) {
+// true, and [Cache.End] of that one will return the job. If the one with its key has
+// another body, the error is [ErrReused]. Otherwise the caller must run it.
+func (c *Cache) Begin(now time.Time, key Key, body Digest, job JobID) (response *oriole.Response, joined bool, err error) {
 	if running := c.running[key]; running != nil {
+		if running.body != body {
+			return nil, false, ErrReused
+		}
 		running.joined = append(running.joined, job)
-		return nil, true
+		return nil, true, nil
 	}
 	if entry, known := c.completed.Get(key); known {
-		if now.Sub(entry.at) <= ttl {
-			return &entry.response, false
+		switch {
+		case now.Sub(entry.at) > ttl:
+			c.completed.Remove(key)
+		case entry.body != body:
+			return nil, false, ErrReused
+		default:
+			return &entry.response, false, nil
 		}
-		c.completed.Remove(key)
 	}
-	c.running[key] = &inFlight{job: job}
-	return nil, false
+	c.running[key] = &inFlight{job: job, body: body}
+	return nil, false, nil
 }
 
 // End records the response to a request that the caller ran after Begin, and
@@ -103,7 +136,7 @@
 	if response.Outcome == oriole.OutcomeNotRun {
 		return running.joined
 	}
-	c.completed.Add(key, result{response, now})
+	c.completed.Add(key, result{response, running.body, now})
 	c.bytes += len(response.Body)
 	for c.bytes > maxBytes {
 		c.completed.RemoveOldest()
--- a/pkg/oriole/orioleidempotency/cache_test.go
+++ b/pkg/oriole/orioleidempotency/cache_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -11,10 +12,14 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleidempotency"
 )
 
-var start = time.Unix(1000, 0)
+var (
+	start  = time.Unix(1000, 0)
+	digest = orioleidempotency.Digest{1}
+)
 
 func key(idempotencyKey string) orioleidempotency.Key {
-	return orioleidempotency.KeyOf(&oriole.Request{Service: "till", Host: "h.example", Method: "POST", Target: "/charge", IdempotencyKey: idempotencyKey})
+	key, _ := orioleidempotency.KeyOf(&oriole.Request{Service: "till", Host: "h.example", Method: "POST", Target: "/charge", IdempotencyKey: idempotencyKey})
+	return key
 }
 
 func responseWith(body string) oriole.Response {
@@ -23,10 +28,10 @@
 
 func Example() {
 	c := orioleidempotency.New()
-	c.Begin(start, key("book-7"), 1)
-	_, joined := c.Begin(start, key("book-7"), 2)
+	_, _, _ = c.Begin(start, key("book-7"), digest, 1)
+	_, joined, _ := c.Begin(start, key("book-7"), digest, 2)
 	fmt.Println(joined, c.End(start, key("book-7"), 1, responseWith("booked")))
-	response, _ := c.Begin(start, key("book-7"), 3)
+	response, _, _ := c.Begin(start, key("book-7"), digest, 3)
 	fmt.Println(string(response.Body))
 	// Output:
 	// true [2]
@@ -36,10 +41,10 @@
 func TestRequestThatHasNotRunIsNotCached(t *testing.T) {
 	is := is.New(t)
 	c := orioleidempotency.New()
-	c.Begin(start, key("k"), 1)
-	c.Begin(start, key("k"), 2)
+	c.Begin(start, key("k"), digest, 1)
+	c.Begin(start, key("k"), digest, 2)
 	is.Equal(c.End(start, key("k"), 1, oriole.NotRunResponse(oriole.ReasonQueueFull)), []orioleidempotency.JobID{2})
-	response, joined := c.Begin(start, key("k"), 3)
+	response, joined, _ := c.Begin(start, key("k"), digest, 3)
 	is.True(response == nil && !joined)
 }
 
@@ -48,20 +53,20 @@
 func TestUnknownOutcomeIsCached(t *testing.T) {
 	is := is.New(t)
 	c := orioleidempotency.New()
-	c.Begin(start, key("k"), 1)
+	c.Begin(start, key("k"), digest, 1)
 	c.End(start, key("k"), 1, oriole.UnknownResponse(oriole.ReasonConnection))
-	response, _ := c.Begin(start, key("k"), 2)
+	response, _, _ := c.Begin(start, key("k"), digest, 2)
 	is.Equal(response.Outcome, oriole.OutcomeUnknown)
 }
 
 func TestEntriesExpire(t *testing.T) {
 	is := is.New(t)
 	c := orioleidempotency.New()
-	c.Begin(start, key("k"), 1)
+	c.Begin(start, key("k"), digest, 1)
 	c.End(start, key("k"), 1, responseWith("a"))
-	response, _ := c.Begin(start.Add(10*time.Minute), key("k"), 2)
+	response, _, _ := c.Begin(start.Add(10*time.Minute), key("k"), digest, 2)
 	is.True(response != nil)
-	response, joined := c.Begin(start.Add(11*time.Minute), key("k"), 3)
+	response, joined, _ := c.Begin(start.Add(11*time.Minute), key("k"), digest, 3)
 	is.True(response == nil && !joined)
 }
 
@@ -73,12 +78,12 @@
 	body := string(make([]byte, 1<<20))
 	for i := range 20 {
 		k := key(fmt.Sprint(i))
-		c.Begin(start, k, orioleidempotency.JobID(i))
+		c.Begin(start, k, digest, orioleidempotency.JobID(i))
 		c.End(start, k, orioleidempotency.JobID(i), responseWith(body))
 	}
-	first, _ := c.Begin(start, key("0"), 100)
+	first, _, _ := c.Begin(start, key("0"), digest, 100)
 	is.True(first == nil)
-	last, _ := c.Begin(start, key("19"), 101)
+	last, _, _ := c.Begin(start, key("19"), digest, 101)
 	is.True(last != nil)
 }
 
@@ -88,16 +93,16 @@
 func TestRunningRequestIsNotEvicted(t *testing.T) {
 	is := is.New(t)
 	c := orioleidempotency.New()
-	c.Begin(start, key("long"), 1)
-	_, joined := c.Begin(start, key("long"), 2)
+	c.Begin(start, key("long"), digest, 1)
+	_, joined, _ := c.Begin(start, key("long"), digest, 2)
 	is.True(joined)
 	body := string(make([]byte, 1<<16))
 	for i := range 10_000 {
 		k := key(fmt.Sprint(i))
-		c.Begin(start, k, orioleidempotency.JobID(10+i))
+		c.Begin(start, k, digest, orioleidempotency.JobID(10+i))
 		c.End(start, k, orioleidempotency.JobID(10+i), responseWith(body))
 	}
-	response, joined := c.Begin(start, key("long"), 3)
+	response, joined, _ := c.Begin(start, key("long"), digest, 3)
 	is.True(response == nil && joined)
 	is.Equal(c.End(start, key("long"), 1, responseWith("a")), []orioleidempotency.JobID{2, 3})
 }
@@ -115,12 +120,61 @@
 		func(r *oriole.Request) { r.IdempotencyKey = "8" },
 	}
 	c := orioleidempotency.New()
-	c.Begin(start, orioleidempotency.KeyOf(&base), 1)
-	c.End(start, orioleidempotency.KeyOf(&base), 1, responseWith("charged"))
+	k, body := orioleidempotency.KeyOf(&base)
+	_, _, err := c.Begin(start, k, body, 1)
+	is.NoErr(err)
+	c.End(start, k, 1, responseWith("charged"))
 	for i, change := range others {
 		other := base
 		change(&other)
-		response, joined := c.Begin(start, orioleidempotency.KeyOf(&other), orioleidempotency.JobID(2+i))
+		k, body := orioleidempotency.KeyOf(&other)
+		response, joined, err := c.Begin(start, k, body, orioleidempotency.JobID(2+i))
+		is.NoErr(err)
 		is.True(response == nil && !joined)
 	}
 }
+
+// TestKeyIsOneCallersOwn guards against giving a caller the response to another one's
+// request, or to another request, because both use the same idempotency key.
+func TestKeyIsOneCallersOwn(t *testing.T) {
+	request := func(body string, credentials ...string) *oriole.Request {
+		r := &oriole.Request{Service: "till", Method: "POST", Target: "/charge", IdempotencyKey: "1", Header: http.Header{}, Body: []byte(body)}
+		for i := 0; i < len(credentials); i += 2 {
+			r.Header.Add(credentials[i], credentials[i+1])
+		}
+		return r
+	}
+	first := request("a", "Authorization", "Bearer anna")
+	for _, test := range []struct {
+		name   string
+		second *oriole.Request
+		// own is set if the second request runs by itself.
+		own bool
+		err error
+	}{
+		{"same", request("a", "Authorization", "Bearer anna"), false, nil},
+		{"other credentials", request("a", "Authorization", "Bearer bela"), true, nil},
+		{"no credentials", request("a"), true, nil},
+		{"more credentials", request("a", "Authorization", "Bearer anna", "Cookie", "x"), true, nil},
+		{"in another field", request("a", "Cookie", "Bearer anna"), true, nil},
+		{"split differently", request("a", "Authorization", "Bearer", "Authorization", "anna"), true, nil},
+		{"other body", request("b", "Authorization", "Bearer anna"), false, orioleidempotency.ErrReused},
+	} {
+		for _, completed := range []bool{false, true} {
+			t.Run(fmt.Sprint(test.name, completed), func(t *testing.T) {
+				is := is.New(t)
+				c := orioleidempotency.New()
+				key, body := orioleidempotency.KeyOf(first)
+				_, _, err := c.Begin(start, key, body, 1)
+				is.NoErr(err)
+				if completed {
+					c.End(start, key, 1, responseWith("booked"))
+				}
+				key, body = orioleidempotency.KeyOf(test.second)
+				response, joined, err := c.Begin(start, key, body, 2)
+				is.Equal(err, test.err)
+				is.Equal(response == nil && !joined, test.own || test.err != nil)
+			})
+		}
+	}
+}
--- a/pkg/oriole/request.go
+++ b/pkg/oriole/request.go
@@ -71,13 +71,16 @@
 	// ReasonUnreachable means that the gateway that dispatches the request could not
 	// connect to the upstream, which others may reach.
 	ReasonUnreachable
+	// ReasonKeyReused means that the caller has used the request's idempotency key for
+	// another request.
+	ReasonKeyReused
 	reasonCount
 )
 
 var reasonNames = [...]string{
 	"none", "queue-full", "deadline", "not-keeper", "shed", "fenced",
 	"connection", "bad-answer", "crash", "cancelled",
-	"no-owner", "moved", "draining", "paused", "unreachable",
+	"no-owner", "moved", "draining", "paused", "unreachable", "key-reused",
 }
 
 // String returns the reason as it is sent to callers in a header.
