--- a/pkg/oriole/orioleassign/assign_test.go
+++ b/pkg/oriole/orioleassign/assign_test.go
@@ -307,6 +307,13 @@
 				s.killServer(s.servers[0])
 			})
 		}, lease + reaction},
+		{"store restored, and all gateways killed and back after 1 s", func(s *sim) {
+			s.restoreAfterChange()
+			for _, g := range s.gateways {
+				g.down = true
+				s.schedule(time.Second, func() { s.startGateway(g) })
+			}
+		}, 10 * time.Second},
 		{"all gateways killed and back after 1 s", func(s *sim) {
 			for _, g := range s.gateways {
 				g.down = true
--- a/pkg/oriole/orioleassign/call.go
+++ b/pkg/oriole/orioleassign/call.go
@@ -75,6 +75,7 @@
 		m.sendReleases(now, &m.leases[i])
 	}
 	m.sendGrants(now)
+	m.sendSweep(now)
 	m.sendProbes(now)
 }
 
@@ -404,6 +405,9 @@
 
 // releaseDone updates the leases with the result of a release.
 func (m *Machine) releaseDone(now time.Time, c call, r Result) {
+	if c.sweep {
+		m.sweepDone(now, c, r.Err)
+	}
 	for i := range m.leases {
 		l := &m.leases[i]
 		if l.Last < c.first || c.last < l.First {
--- a/pkg/oriole/orioleassign/inflight.go
+++ b/pkg/oriole/orioleassign/inflight.go
@@ -43,9 +43,12 @@
 // mayMove reports whether this leader may release ranges and use fencing tokens
 // for the first time. If it may not, it has its leadership confirmed.
 func (m *Machine) mayMove(now time.Time) bool {
-	if m.settling || m.awaitsUnknownLeaders(now) {
-		return false
-	}
+	return !m.settling && !m.awaitsUnknownLeaders(now) && m.confirmedForMove(now)
+}
+
+// confirmedForMove reports whether the move lease is valid. If it isn't, this leader has
+// its leadership confirmed.
+func (m *Machine) confirmedForMove(now time.Time) bool {
 	if now.Before(m.confirmedAt.Add(m.cfg.MoveLease)) {
 		return true
 	}
--- a/pkg/oriole/orioleassign/leadership.go
+++ b/pkg/oriole/orioleassign/leadership.go
@@ -96,6 +96,7 @@
 	m.endCalls()
 	clear(m.unchangedPeers)
 	clear(m.stoppedPeers)
+	m.sweep = newSweep()
 	m.settling, m.firstFence, m.unknownLeadersUntil = false, 0, time.Time{}
 	for _, g := range a.PriorLeaders {
 		if g == oriole.UnknownLeader {
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -188,6 +188,7 @@
 	// they may execute releases of such leaders.
 	unknownLeadersUntil time.Time
 	lateReleasesUntil   time.Time
+	sweep               sweep
 	// confirmedAt is when the call was started by which the store last
 	// confirmed the leadership.
 	confirmedAt time.Time
@@ -280,6 +281,8 @@
 	term        uint64
 	// arrivesBefore is when the call has certainly arrived, if it ever will.
 	arrivesBefore time.Time
+	// sweep is set for a release of all keys.
+	sweep bool
 	// repeated is set for a release that may not be the first one to the prior
 	// owner for these keys.
 	repeated bool
@@ -306,6 +309,7 @@
 		unlistedAt:     make(map[oriole.GatewayID]time.Time),
 		unchangedPeers: make(map[oriole.GatewayID]bool),
 		stoppedPeers:   make(map[oriole.GatewayID]bool),
+		sweep:          newSweep(),
 		proposeMoves:   func(b *balancer) { b.balance() },
 	}
 }
--- a/pkg/oriole/orioleassign/restore.go
+++ b/pkg/oriole/orioleassign/restore.go
@@ -39,6 +39,7 @@
 		m.storeEra, m.eraSince = version.Era, now
 		clear(m.unchangedPeers)
 		clear(m.stoppedPeers)
+		m.sweep = newSweep()
 	}
 	return stale || version.Era == m.storeEra
 }
@@ -159,6 +160,10 @@
 	if m.unknownLeadersUntil.IsZero() {
 		return
 	}
+	if m.swept(now) {
+		m.log("swept", LogEvent{Fence: m.current.Fence, Detail: "no upstream holds keys of leaders whose records were lost"})
+		m.unknownLeadersUntil = now
+	}
 	if m.awaitsUnknownLeaders(now) {
 		m.askPeers(now, waitAskInterval)
 		return
--- a/pkg/oriole/orioleassign/restore_test.go
+++ b/pkg/oriole/orioleassign/restore_test.go
@@ -1,12 +1,15 @@
 package orioleassign
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 )
 
@@ -581,3 +584,69 @@
 	x.Equal(x.old.version, read)
 	x.Equal(x.old.leases[0].Fence, written.Fence)
 }
+
+// TestSweepWaitsForEachUpstream guards against giving keys out again after a restore while
+// an upstream that no gateway reaches may hold them for a leader that nobody knows.
+func TestSweepWaitsForEachUpstream(t *testing.T) {
+	is := is.New(t)
+	s := newSettledSim(t)
+	s.restoreAfterChange()
+	for _, g := range s.gateways {
+		g.down = true
+		s.schedule(time.Second, func() { s.startGateway(g) })
+		s.cutLinks[[2]string{g.name, "srv0"}] = cutHangs
+	}
+	s.run(12 * time.Second)
+	is.True(s.leader().machine.awaitsUnknownLeaders(s.clock.Now()))
+	is.True(s.unowned() > 0)
+	for _, g := range s.gateways {
+		delete(s.cutLinks, [2]string{g.name, "srv0"})
+	}
+	s.run(8 * time.Second)
+	is.True(!s.leader().machine.awaitsUnknownLeaders(s.clock.Now()))
+	is.Equal(s.unowned(), 0)
+	is.Equal(s.violation, "")
+}
+
+// TestSweepEndsLeasesOfUnknownLeader guards against two owners after a restore that has
+// lost the record of a leader which still renews leases, cut off from the store and all
+// other gateways.
+func TestSweepEndsLeasesOfUnknownLeader(t *testing.T) {
+	forEachSeed(t, cutSeeds, func(t *testing.T, seed uint64) {
+		s := newSim(seed, 3, 5, 0, withLateFaults(seed))
+		s.late.rate = 0
+		s.store.era = 1
+		s.run(10 * time.Second)
+		older := s.store.copy()
+		first := s.leader()
+		first.down = true
+		s.schedule(800*time.Millisecond, s.publishState)
+		s.run(8 * time.Second)
+		unknown := s.leader()
+		if unknown == nil || unknown == first {
+			s.fail(t, seed, "no other leader")
+		}
+		s.store.unreachableFrom[unknown.name] = true
+		for _, other := range s.gateways {
+			if other == unknown {
+				continue
+			}
+			s.cutLinks[[2]string{unknown.name, other.name}] = cutHangs
+			s.cutLinks[[2]string{other.name, unknown.name}] = cutHangs
+			// It forgets the assignment that is lost.
+			other.down = true
+			s.schedule(time.Second, func() { s.startGateway(other) })
+		}
+		s.restoreFrom(older, 300*time.Millisecond)
+		s.run(8 * time.Second)
+		if !unknown.machine.Leading() {
+			s.fail(t, seed, "the unknown leader renews no lease any more")
+		}
+		s.run(10 * time.Second)
+		s.late = nil // no more moves
+		s.run(15 * time.Second)
+		if s.violation != "" || s.unowned() > 0 {
+			s.fail(t, seed, fmt.Sprintf("%d sampled keys have no owner. %s", s.unowned(), s.violation))
+		}
+	})
+}
