Reach is remembered for the upstreams that a pool had then

Cause: since a refused connection counts as out of reach, the loss of all upstreams of a pool makes forwarders ask its next dispatchers. They went on to ask them for a second when others had come in their place, so that several dispatchers each sent as much as an upstream in cold start takes.

Change: what a dispatcher did not reach are the incarnations that the pool had then. If they change, the first dispatcher is asked again, also for a request that was on its way.

TestReachIsThatOfUpstreams fails without it.

--- a/internal/oriolerouter/orioleingress/forwarder.go
+++ b/internal/oriolerouter/orioleingress/forwarder.go
@@ -152,7 +152,7 @@
 		f.cfg.Metrics.Add("entry_again_"+resp.Reason.String(), 1)
 		tried.record(dispatcher, resp.Reason)
 		if resp.Reason == oriole.ReasonUnreachable {
-			f.reach.record(f.cfg.Clock.Now(), pool, dispatcher)
+			f.reach.record(f.cfg.Clock.Now(), pool, dispatcher, tried.upstreams)
 		}
 		switch {
 		case resp.Outcome != oriole.OutcomeNotRun:
@@ -172,28 +172,32 @@
 
 // triedDispatchers are the dispatchers that did not send a request.
 type triedDispatchers struct {
-	// pool is the pool that the request was last routed to.
-	pool oriole.PoolID
+	// pool is the pool that the request was last routed to, by state.
+	pool  oriole.PoolID
+	state *oriole.ClusterState
 	// refused holds the gateways that don't dispatch the request, although the
 	// cluster state may still list them as dispatchers, or that did not reach an
 	// upstream of the pool, and unreachable is the number of the latter.
 	refused     []oriole.GatewayID
 	unreachable int
+	// upstreams is the hash of those that were not reached.
+	upstreams uint64
 }
 
 // setPool sets the pool that the request is routed to. What others did not reach says
-// nothing of another pool.
-func (t *triedDispatchers) setPool(pool oriole.PoolID) {
-	if pool != t.pool && t.unreachable > 0 {
+// nothing of another pool, nor of the same one with other upstreams.
+func (t *triedDispatchers) setPool(state *oriole.ClusterState, pool oriole.PoolID) {
+	if t.unreachable > 0 && (pool != t.pool || upstreamsOf(state, pool) != t.upstreams) {
 		t.refused, t.unreachable = nil, 0
 	}
-	t.pool = pool
+	t.pool, t.state = pool, state
 }
 
 func (t *triedDispatchers) record(dispatcher oriole.GatewayID, reason oriole.Reason) {
 	switch reason {
 	case oriole.ReasonUnreachable:
 		t.unreachable++
+		t.upstreams = upstreamsOf(t.state, t.pool)
 		t.refused = append(t.refused, dispatcher)
 	case oriole.ReasonNotDispatcher:
 		t.refused = append(t.refused, dispatcher)
@@ -353,7 +357,7 @@
 		state, updated := f.cfg.State.Watch()
 		pool, reason = f.poolFor(state, r)
 		if reason == oriole.ReasonNone {
-			tried.setPool(pool)
+			tried.setPool(state, pool)
 			return pool, f.dispatcherFor(state, pool, tried), reason
 		}
 		if reason != oriole.ReasonNoOwner || f.withoutLeader(state, r) {
@@ -420,7 +424,7 @@
 	for _, id := range f.rankings.Ranking(pool, state.LiveMembers()) {
 		switch {
 		case slices.Contains(tried.refused, id) || (id != f.cfg.Self.ID && !f.cfg.Peers.Reachable(id)):
-		case f.reach.fails(now, pool, id):
+		case f.reach.fails(now, state, pool, id):
 			cutOff = true
 			failing = cmp.Or(failing, id)
 		case !cutOff || state.Gateways[id].Zone != pool.Zone:
--- a/internal/oriolerouter/orioleingress/forwarder_test.go
+++ b/internal/oriolerouter/orioleingress/forwarder_test.go
@@ -215,7 +215,7 @@
 	f := NewForwarder(ForwarderConfig{Self: state.Gateways["vm4.1"], Peers: reachablePeers{}, Clock: oriolesim.NewClock(now)})
 	pool := oriole.PoolID{Service: "s", Zone: "z", Server: "u"}
 	var tried triedDispatchers
-	tried.setPool(pool)
+	tried.setPool(state, pool)
 	first := f.dispatcherFor(state, pool, &tried)
 	is.Equal(zones[first], oriole.ZoneName("z"))
 	tried.record(first, oriole.ReasonUnreachable)
@@ -226,20 +226,56 @@
 	is.Equal(zones[third], oriole.ZoneName("y"))
 	tried.record(third, oriole.ReasonUnreachable)
 	is.Equal(zones[f.dispatcherFor(state, pool, &tried)], oriole.ZoneName("z"))
-	tried.setPool(oriole.PoolID{Service: "s", Zone: "z", Server: "v"})
+	tried.setPool(state, oriole.PoolID{Service: "s", Zone: "z", Server: "v"})
 	is.Equal(len(tried.refused), 0)
 
 	// The next requests go to the other zone at once, for a while.
-	f.reach.record(now, pool, first)
+	f.reach.record(now, pool, first, upstreamsOf(state, pool))
 	is.Equal(f.dispatcherFor(state, pool, &triedDispatchers{}), second)
-	f.reach.record(now.Add(-reachMemory), pool, first)
+	f.reach.record(now.Add(-reachMemory), pool, first, upstreamsOf(state, pool))
 	is.Equal(f.dispatcherFor(state, pool, &triedDispatchers{}), first)
 	for id := range zones {
-		f.reach.record(now, pool, id)
+		f.reach.record(now, pool, id, upstreamsOf(state, pool))
 	}
 	is.Equal(f.dispatcherFor(state, pool, &triedDispatchers{}), first)
 }
 
+// TestReachIsThatOfUpstreams guards against several dispatchers that each send as much as
+// an upstream in cold start takes: after the loss of a pool's upstreams, forwarders asked
+// other dispatchers for a second, also for those that came in their place.
+func TestReachIsThatOfUpstreams(t *testing.T) {
+	is := is.New(t)
+	state := oriole.NewClusterState()
+	pool := oriole.PoolID{Service: "s", Zone: "z"}
+	list := func(id oriole.ServerID, startedAt int64) {
+		state.Upstreams[id] = oriole.Upstream{ID: id, Service: "s", Zone: "z", StartedAt: time.UnixMilli(startedAt)}
+	}
+	for _, id := range []oriole.GatewayID{"vm1.1", "vm2.1"} {
+		state.Gateways[id] = oriole.Member{ID: id, Zone: "z", Weight: 1}
+		state.Alive[id] = true
+	}
+	list("a", 1)
+	now := time.Unix(1000, 0)
+	f := NewForwarder(ForwarderConfig{Self: state.Gateways["vm1.1"], Peers: reachablePeers{}, Clock: oriolesim.NewClock(now)})
+	for _, change := range []func(){
+		func() { list("a", 2) },
+		func() { list("b", 3) },
+		func() { delete(state.Upstreams, "a") },
+	} {
+		var tried triedDispatchers
+		tried.setPool(state, pool)
+		first := f.dispatcherFor(state, pool, &tried)
+		tried.record(first, oriole.ReasonUnreachable)
+		f.reach.record(now, pool, first, tried.upstreams)
+		is.True(f.dispatcherFor(state, pool, &tried) != first)
+		is.True(f.dispatcherFor(state, pool, &triedDispatchers{}) != first)
+		change()
+		tried.setPool(state, pool)
+		is.Equal(f.dispatcherFor(state, pool, &tried), first)
+		is.Equal(f.dispatcherFor(state, pool, &triedDispatchers{}), first)
+	}
+}
+
 // reachablePeers are peers that all can be reached.
 type reachablePeers struct{ Peers }
 
--- a/internal/oriolerouter/orioleingress/reach.go
+++ b/internal/oriolerouter/orioleingress/reach.go
@@ -1,10 +1,14 @@
 package orioleingress
 
 import (
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleplacement"
 )
 
 const (
@@ -20,7 +24,7 @@
 // is safe for concurrent use.
 type reachRecord struct {
 	mu     sync.Mutex
-	failed map[reachPair]time.Time
+	failed map[reachPair]reachFailure
 }
 
 type reachPair struct {
@@ -28,26 +32,54 @@
 	dispatcher oriole.GatewayID
 }
 
-func newReachRecord() *reachRecord { return &reachRecord{failed: make(map[reachPair]time.Time)} }
+// reachFailure is a failure to reach the upstreams that a pool had then.
+type reachFailure struct {
+	at        time.Time
+	upstreams uint64
+}
 
-// record records that the dispatcher did not reach an upstream of the pool.
-func (r *reachRecord) record(now time.Time, pool oriole.PoolID, dispatcher oriole.GatewayID) {
+// upstreamsOf returns a hash of the incarnations that a pool has. What was found out about
+// one set of them says nothing of another: a dispatcher that takes the place of the first
+// does not know what the first has sent to an upstream that has just been listed.
+func upstreamsOf(state *oriole.ClusterState, pool oriole.PoolID) (sum uint64) {
+	add := func(u oriole.Upstream) {
+		sum += xxhash.Sum64String(string(u.ID) + strconv.FormatInt(u.StartedAt.UnixNano(), 10))
+	}
+	if pool.Server != "" {
+		if u, listed := state.Upstreams[pool.Server]; listed {
+			add(u)
+		}
+		return sum
+	}
+	for _, u := range state.UsableUpstreams(pool.Service) {
+		if orioleplacement.PoolOf(u, false) == pool {
+			add(u)
+		}
+	}
+	return sum
+}
+
+func newReachRecord() *reachRecord { return &reachRecord{failed: make(map[reachPair]reachFailure)} }
+
+// record records that the dispatcher did not reach the upstreams of the pool.
+func (r *reachRecord) record(now time.Time, pool oriole.PoolID, dispatcher oriole.GatewayID, upstreams uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.failed) >= maxReachEntries {
-		for pair, at := range r.failed {
-			if now.Sub(at) >= reachMemory {
+		for pair, failure := range r.failed {
+			if now.Sub(failure.at) >= reachMemory {
 				delete(r.failed, pair)
 			}
 		}
 	}
-	r.failed[reachPair{pool, dispatcher}] = now
+	r.failed[reachPair{pool, dispatcher}] = reachFailure{now, upstreams}
 }
 
-// fails reports whether the dispatcher recently did not reach the pool's upstreams.
-func (r *reachRecord) fails(now time.Time, pool oriole.PoolID, dispatcher oriole.GatewayID) bool {
+// fails reports whether the dispatcher recently did not reach the upstreams that the pool
+// has in the state.
+func (r *reachRecord) fails(now time.Time, state *oriole.ClusterState, pool oriole.PoolID, dispatcher oriole.GatewayID) bool {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	at, known := r.failed[reachPair{pool, dispatcher}]
-	return known && now.Sub(at) < reachMemory
+	failure, known := r.failed[reachPair{pool, dispatcher}]
+	r.mu.Unlock()
+	return known && now.Sub(failure.at) < reachMemory && failure.upstreams == upstreamsOf(state, pool)
 }
