--- a/internal/orioleupstream/conn.go
+++ b/internal/orioleupstream/conn.go
@@ -216,8 +216,9 @@
 	return requestID != "" && slices.Contains(c.excluded, xxhash.Sum64String(requestID))
 }
 
-// exchange sends the call's request and reads its response. It skips responses that
-// do not match. The body is taken from the hold. reusable reports whether the connection may carry another request.
+// exchange sends the call's request and reads its response, whose body takes its memory
+// from the hold. It skips responses that do not match. reusable reports whether the
+// connection may carry another request.
 func (c *conn) exchange(ctx context.Context, call Call, hold *oriolememory.Hold) (resp *Response, reusable bool, err error) {
 	defer func() { err = errors.Wrap(err, "exchanging a request and its response") }()
 	// A deadline in the past interrupts pending reads and writes.
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -188,7 +188,8 @@
 	// they may execute releases of such leaders.
 	unknownLeadersUntil time.Time
 	lateReleasesUntil   time.Time
-	sweep               sweep
+	// sweep is the progress of this leader's sweep of the upstreams, if it makes one.
+	sweep sweep
 	// confirmedAt is when the call was started by which the store last
 	// confirmed the leadership.
 	confirmedAt time.Time
--- a/pkg/oriole/oriolepool/server.go
+++ b/pkg/oriole/oriolepool/server.go
@@ -51,7 +51,8 @@
 	suspectUntil time.Time
 	pausedUntil  time.Time
 	// unreachable is set if the upstream did not answer the last attempt to connect, or
-	// refused it while no request was running. It then gets one request at a time, from reachAt on.
+	// refused it while no request was running. It then gets one request at a time, from
+	// reachAt on.
 	unreachable bool
 	reachAt     time.Time
 	// tokens is the token bucket of a rate-limited upstream, in requests;
