--- a/internal/oriolerouter/oriolelink/part.go
+++ b/internal/oriolerouter/oriolelink/part.go
@@ -1,6 +1,7 @@
 package oriolelink
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -57,7 +58,10 @@
 
 // partialBody is a body whose last part has not arrived yet.
 type partialBody struct {
-	body      []byte
+	// parts are kept as they came and joined once: growing one buffer would leave as
+	// much again for the garbage collector.
+	parts     [][]byte
+	size      int
 	startedAt time.Time
 	// hold is what the body takes of the memory for bodies of peers. release gives it
 	// back.
@@ -89,7 +93,8 @@
 	case l.bufferedBytes+len(part.Body) > maxBodySize, partial.hold.Grow(int64(len(part.Body))) != nil:
 		l.dropBody(partial)
 	default:
-		partial.body = append(partial.body, part.Body...)
+		partial.parts = append(partial.parts, part.Body)
+		partial.size += len(part.Body)
 		l.bufferedBytes += len(part.Body)
 	}
 }
@@ -106,9 +111,9 @@
 
 // dropBody frees the buffered parts of a body. l.mu must be held.
 func (l *link) dropBody(partial *partialBody) {
-	l.bufferedBytes -= len(partial.body)
+	l.bufferedBytes -= partial.size
 	partial.release()
-	partial.body, partial.dropped = nil, true
+	partial.parts, partial.size, partial.dropped = nil, 0, true
 }
 
 // assemble returns the body that ends with tail, and whether it is complete. The buffered
@@ -122,15 +127,15 @@
 		partial.hold, partial.release = l.memory.Hold(string(l.peer))
 	}
 	delete(l.partials, number)
-	l.bufferedBytes -= len(partial.body)
+	l.bufferedBytes -= partial.size
 	if partial.hold.Grow(int64(len(tail))) != nil {
 		partial.release()
 		return nil, partial.release, false
 	}
-	if partial.body == nil {
+	if partial.parts == nil {
 		return tail, partial.release, !partial.dropped
 	}
-	return append(partial.body, tail...), partial.release, !partial.dropped
+	return bytes.Join(append(partial.parts, tail), nil), partial.release, !partial.dropped
 }
 
 // dropPartials frees all incomplete bodies of a link that has ended. l.mu must be held.
--- a/pkg/oriole/oriolememory/memory.go
+++ b/pkg/oriole/oriolememory/memory.go
@@ -15,11 +15,10 @@
 	// freeBytes is what each hold may take in any case, in bytes: bodies of the usual
 	// size pass whatever others hold. The number of holds is bounded elsewhere.
 	freeBytes = 64 << 10
-	// responseDivisor and peerDivisor give the sizes of the pools as fractions of the
-	// memory of the VM. Bodies of own callers have a bound of their own, and the
-	// runtime needs as much again until garbage is collected.
-	responseDivisor = 8
-	peerDivisor     = 6
+	// poolDivisor gives the size of each pool as a fraction of the memory of the VM.
+	// Bodies of own callers have a bound of their own, and the runtime needs as much
+	// again until garbage is collected.
+	poolDivisor = 8
 	// ownerDivisor gives the share of a pool that one owner may take.
 	ownerDivisor = 3
 )
@@ -35,7 +34,7 @@
 // New returns the budget of a VM with the memory in bytes. maxBody is the size of the
 // largest body in bytes, of which each owner may hold at least one.
 func New(memory, maxBody int64) *Budget {
-	return &Budget{Responses: NewPool(memory/responseDivisor, maxBody), Peers: NewPool(memory/peerDivisor, maxBody)}
+	return &Budget{Responses: NewPool(memory/poolDivisor, maxBody), Peers: NewPool(memory/poolDivisor, maxBody)}
 }
 
 // Pool bounds the bytes that are held together.
