The upstreams of a pool are listed by one function

Reading the change again: the forwarder listed a pool's upstreams as the dispatcher already did, both now call orioleplacement.Upstreams; the time after which a crashed upstream is listed no more stood twice, the crash detector has it alone; a partial body held its memory and the function that frees it, which is a method of the former.

--- a/internal/oriolerouter/orioledispatcher/crash.go
+++ b/internal/oriolerouter/orioledispatcher/crash.go
@@ -10,10 +10,6 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 )
 
-// directoryLag is how long after a failed call to the directory its entries may be out of
-// date: three heartbeats of an upstream, and a watch.
-const directoryLag = 5 * time.Second
-
 // trackCrashes updates the crash detector from the result of a request that was
 // sent. If the connection broke, the request is suspected of crashing the
 // upstream, unless that was draining. If no connection could be opened, the incarnation
@@ -46,10 +42,7 @@
 // lists: a partition closes and refuses connections too.
 func (d *poolDuty) withdrawCrashes(now time.Time) {
 	state := d.dispatcher.cfg.State.Snapshot()
-	if now.Sub(state.DirectoryFailedAt) < directoryLag {
-		return
-	}
-	for _, incarnation := range d.crashes.Unconfirmed(now) {
+	for _, incarnation := range d.crashes.Unconfirmed(now, state.DirectoryFailedAt) {
 		if u, listed := state.Upstreams[incarnation.ID]; listed && u.Incarnation() == incarnation {
 			d.crashes.Alive(incarnation)
 		}
--- a/internal/oriolerouter/orioledispatcher/duty.go
+++ b/internal/oriolerouter/orioledispatcher/duty.go
@@ -215,7 +215,7 @@
 	p.pool.SetElsewhere(id.Server == "" && slices.ContainsFunc(state.UsableUpstreams(id.Service), func(u oriole.Upstream) bool {
 		return orioleplacement.PoolOf(u, false) != id
 	}))
-	upstreams := slices.DeleteFunc(poolUpstreams(state, id), func(u oriole.Upstream) bool { return d.departures.Leaves(u.Incarnation()) })
+	upstreams := slices.DeleteFunc(orioleplacement.Upstreams(state, id), func(u oriole.Upstream) bool { return d.departures.Leaves(u.Incarnation()) })
 	p.pool.Update(now, service, upstreams)
 }
 
@@ -276,24 +276,6 @@
 	}).Info(oriolelog.MessageUpstreamLimited)
 }
 
-// poolUpstreams returns the usable upstreams of the pool.
-func poolUpstreams(state *oriole.ClusterState, id oriole.PoolID) []oriole.Upstream {
-	if id.Server != "" {
-		u, listed := state.Upstreams[id.Server]
-		if !listed || !state.Usable(u) || orioleplacement.PoolOf(u, true) != id {
-			return nil
-		}
-		return []oriole.Upstream{u}
-	}
-	var upstreams []oriole.Upstream
-	for _, u := range state.UsableUpstreams(id.Service) {
-		if orioleplacement.PoolOf(u, false) == id {
-			upstreams = append(upstreams, u)
-		}
-	}
-	return upstreams
-}
-
 func (d *poolDuty) tick(ctx context.Context, now time.Time) {
 	if d.reportDue {
 		d.reportDurations(ctx)
--- a/internal/oriolerouter/orioleingress/reach.go
+++ b/internal/oriolerouter/orioleingress/reach.go
@@ -42,20 +42,9 @@
 // one set of them says nothing of another: a dispatcher that takes the place of the first
 // does not know what the first has sent to an upstream that has just been listed.
 func upstreamsOf(state *oriole.ClusterState, pool oriole.PoolID) (sum uint64) {
-	add := func(u oriole.Upstream) {
+	for _, u := range orioleplacement.Upstreams(state, pool) {
 		sum += xxhash.Sum64String(string(u.ID) + strconv.FormatInt(u.StartedAt.UnixNano(), 10))
 	}
-	if pool.Server != "" {
-		if u, listed := state.Upstreams[pool.Server]; listed {
-			add(u)
-		}
-		return sum
-	}
-	for _, u := range state.UsableUpstreams(pool.Service) {
-		if orioleplacement.PoolOf(u, false) == pool {
-			add(u)
-		}
-	}
 	return sum
 }
 
--- a/internal/oriolerouter/oriolelink/part.go
+++ b/internal/oriolerouter/oriolelink/part.go
@@ -63,15 +63,18 @@
 	parts     [][]byte
 	size      int
 	startedAt time.Time
-	// hold is what the body takes of the memory for bodies of peers. release gives it
-	// back.
-	hold    *oriolememory.Hold
-	release func()
+	// hold is what the body takes of the memory for bodies of peers.
+	hold *oriolememory.Hold
 	// dropped is set when a part was discarded: the request or response that
 	// ends the body must be rejected.
 	dropped bool
 }
 
+func (l *link) newPartial(now time.Time) *partialBody {
+	hold, _ := l.memory.Hold(string(l.peer))
+	return &partialBody{hold: hold, startedAt: now}
+}
+
 // addPart buffers a part until the last one arrives. A body that would exceed
 // the link's buffer limit is discarded, and rejected when its last part
 // arrives.
@@ -84,8 +87,7 @@
 	l.dropExpired(now)
 	partial := l.partials[part.Number]
 	if partial == nil {
-		partial = &partialBody{startedAt: now}
-		partial.hold, partial.release = l.memory.Hold(string(l.peer))
+		partial = l.newPartial(now)
 		l.partials[part.Number] = partial
 	}
 	switch {
@@ -112,7 +114,7 @@
 // dropBody frees the buffered parts of a body. l.mu must be held.
 func (l *link) dropBody(partial *partialBody) {
 	l.bufferedBytes -= partial.size
-	partial.release()
+	partial.hold.Reset()
 	partial.parts, partial.size, partial.dropped = nil, 0, true
 }
 
@@ -123,19 +125,18 @@
 	defer l.mu.Unlock()
 	partial := l.partials[number]
 	if partial == nil {
-		partial = &partialBody{}
-		partial.hold, partial.release = l.memory.Hold(string(l.peer))
+		partial = l.newPartial(time.Time{})
 	}
 	delete(l.partials, number)
 	l.bufferedBytes -= partial.size
 	if partial.hold.Grow(int64(len(tail))) != nil {
-		partial.release()
-		return nil, partial.release, false
+		partial.hold.Reset()
+		return nil, partial.hold.Reset, false
 	}
 	if partial.parts == nil {
-		return tail, partial.release, !partial.dropped
+		return tail, partial.hold.Reset, !partial.dropped
 	}
-	return bytes.Join(append(partial.parts, tail), nil), partial.release, !partial.dropped
+	return bytes.Join(append(partial.parts, tail), nil), partial.hold.Reset, !partial.dropped
 }
 
 // dropPartials frees all incomplete bodies of a link that has ended. l.mu must be held.
--- a/pkg/oriole/oriolecrash/detector.go
+++ b/pkg/oriole/oriolecrash/detector.go
@@ -109,8 +109,12 @@
 }
 
 // Unconfirmed returns the upstreams that have counted as crashed for so long that the
-// directory no longer lists those that have.
-func (d *Detector) Unconfirmed(now time.Time) []oriole.Incarnation {
+// directory no longer lists those that have. There are none soon after directoryFailedAt,
+// when a call to the directory last failed.
+func (d *Detector) Unconfirmed(now, directoryFailedAt time.Time) []oriole.Incarnation {
+	if now.Sub(directoryFailedAt) < suspectWindow {
+		return nil
+	}
 	var unconfirmed []oriole.Incarnation
 	for _, inc := range d.ended.Keys() {
 		if at, known := d.ended.Peek(inc); known && now.Sub(at) >= suspectWindow {
--- a/pkg/oriole/orioleplacement/placement.go
+++ b/pkg/oriole/orioleplacement/placement.go
@@ -154,3 +154,21 @@
 	}
 	return pool
 }
+
+// Upstreams returns the usable upstreams of the pool, ordered by ID.
+func Upstreams(state *oriole.ClusterState, pool oriole.PoolID) []oriole.Upstream {
+	if pool.Server != "" {
+		u, listed := state.Upstreams[pool.Server]
+		if !listed || !state.Usable(u) || PoolOf(u, true) != pool {
+			return nil
+		}
+		return []oriole.Upstream{u}
+	}
+	var upstreams []oriole.Upstream
+	for _, u := range state.UsableUpstreams(pool.Service) {
+		if PoolOf(u, false) == pool {
+			upstreams = append(upstreams, u)
+		}
+	}
+	return upstreams
+}
