A refused connection is one kind of call that was not sent

Since a refused connection no longer stands for the end of an upstream, every place but one treated ErrConnRefused as ErrNotSent, and named both. It wraps ErrNotSent now, as ErrUnreachable does; only the error's text changes. The tests of orioleassign, orioleupstream, oriolerouter and platform pass.

--- a/internal/orioleupstream/client.go
+++ b/internal/orioleupstream/client.go
@@ -99,8 +99,8 @@
 }
 
 // Do sends the request once, without retries. If no byte has been sent, the
-// error is [oriole.ErrConnRefused] or [oriole.ErrNotSent]; after any other error
-// the upstream may have acted on the request.
+// error is [oriole.ErrNotSent]; after any other error the upstream may have acted on the
+// request.
 func (c *Client) Do(ctx context.Context, call Call) (resp *Response, err error) {
 	defer func() { err = errors.Wrapf(err, "calling %s", call.To.ID) }()
 	conn, err := c.acquireFor(ctx, call)
--- a/internal/orioleupstream/sender.go
+++ b/internal/orioleupstream/sender.go
@@ -99,7 +99,7 @@
 	switch {
 	case errors.Is(err, oriole.ErrUnreachable):
 		response = oriole.NotRunResponse(oriole.ReasonUnreachable)
-	case errors.Is(err, oriole.ErrNotSent), errors.Is(err, oriole.ErrConnRefused):
+	case errors.Is(err, oriole.ErrNotSent):
 		response = oriole.NotRunResponse(oriole.ReasonConnection)
 		response.Refused = errors.Is(err, oriole.ErrConnRefused)
 	case errors.Is(err, ErrAmbiguous), errors.Is(err, ErrBodyTooLarge), errors.Is(err, oriolememory.ErrFull):
--- a/pkg/oriole/directory.go
+++ b/pkg/oriole/directory.go
@@ -36,8 +36,9 @@
 	// [ErrNotSent] and says nothing about the upstream.
 	ErrExpired = errors.Wrap(ErrNotSent, "call has expired")
 	// ErrConnRefused is returned when a connection is refused: nothing listens on the
-	// address, or a partition refuses it while the upstream lives on.
-	ErrConnRefused = errors.New("nothing listens on the address")
+	// address, or a partition refuses it while the upstream lives on. It wraps
+	// [ErrNotSent].
+	ErrConnRefused = errors.Wrap(ErrNotSent, "connection refused")
 )
 
 // Change is the current value of one directory entry, or its removal. An entry
@@ -133,8 +134,7 @@
 	// Grant leases the range to the upstream. The lease's time to live counts
 	// from the arrival of the request at the upstream. Grant returns the
 	// connection that the request was sent on. After an error other than
-	// [ErrFenced], [ErrNotSent] and [ErrConnRefused] the upstream may hold the
-	// lease. Grant fails with [ErrConnClosed], which wraps ErrNotSent, if the
+	// [ErrFenced] and [ErrNotSent] the upstream may hold the lease. Grant fails with [ErrConnClosed], which wraps ErrNotSent, if the
 	// request's connection is closed: another incarnation may use the address.
 	Grant(ctx context.Context, to Upstream, r LeaseRequest) (ConnID, error)
 	// Probe reports whether the upstream can be reached.
--- a/pkg/oriole/orioleassign/call.go
+++ b/pkg/oriole/orioleassign/call.go
@@ -337,7 +337,7 @@
 // mayHaveArrived reports whether a call that returned err may have reached the
 // upstream.
 func mayHaveArrived(err error) bool {
-	return !errors.Is(err, oriole.ErrNotSent) && !errors.Is(err, oriole.ErrConnRefused)
+	return !errors.Is(err, oriole.ErrNotSent)
 }
 
 func later(a, b time.Time) time.Time {
--- a/pkg/oriole/orioleassign/health.go
+++ b/pkg/oriole/orioleassign/health.go
@@ -30,7 +30,7 @@
 		st.releaseFailedAt = now
 		m.takeBackDue = true
 		return
-	case errors.Is(err, oriole.ErrNotSent), errors.Is(err, oriole.ErrConnRefused):
+	case errors.Is(err, oriole.ErrNotSent):
 		st.connectFailures++
 		st.unreachable = errors.Is(err, oriole.ErrUnreachable) || errors.Is(err, oriole.ErrConnRefused)
 		if st.unreachable && m.isolated(now) {
