Servers of the upstream client's tests share one listener

Three servers in these tests had their own loop that accepts and closes connections; two of the crash tests made the same request, and the evidence of an end asked one gateway and all in two ways. Each stands once now; the assertions are the same.

--- a/internal/oriolerouter/orioledispatcher/crash_test.go
+++ b/internal/oriolerouter/orioledispatcher/crash_test.go
@@ -27,6 +27,13 @@
 	return &poolDuty{dispatcher: disp, pools: make(map[oriole.PoolID]*poolState), crashes: oriolecrash.New(), idempotency: orioleidempotency.New()}, state
 }
 
+// newCrashRequest returns a request that may be blamed for a crash.
+func newCrashRequest() *pendingRequest {
+	req := &pendingRequest{ctx: context.Background(), request: oriole.Request{Method: "GET", Host: "h", Target: "/"}}
+	req.fingerprint = oriolecrash.FingerprintOf(req.request)
+	return req
+}
+
 // TestDepartureIsNoCrash guards against refusing a request because upstreams that had
 // broken a connection left in good order, or were missing from a restored list.
 func TestDepartureIsNoCrash(t *testing.T) {
@@ -61,9 +68,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			d, state := newCrashDuty()
-			ctx, now := context.Background(), time.Unix(1000, 0)
-			req := &pendingRequest{ctx: ctx, request: oriole.Request{Method: "GET", Host: "h", Target: "/"}}
-			req.fingerprint = oriolecrash.FingerprintOf(req.request)
+			now, req := time.Unix(1000, 0), newCrashRequest()
+			ctx := req.ctx
 			for _, id := range []oriole.ServerID{"a", "b", "c"} {
 				u := test.before
 				u.ID = id
@@ -113,9 +119,8 @@
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			d, state := newCrashDuty()
-			ctx, now := context.Background(), time.Unix(1000, 0)
-			req := &pendingRequest{ctx: ctx, request: oriole.Request{Method: "GET", Host: "h", Target: "/"}}
-			req.fingerprint = oriolecrash.FingerprintOf(req.request)
+			now, req := time.Unix(1000, 0), newCrashRequest()
+			ctx := req.ctx
 			for _, id := range []oriole.ServerID{"a", "b", "c"} {
 				u := oriole.Upstream{ID: id, StartedAt: time.UnixMilli(2)}
 				if test.listed {
--- a/internal/orioleupstream/client_test.go
+++ b/internal/orioleupstream/client_test.go
@@ -35,6 +35,22 @@
 // newUpstreamByConn starts such a server with a respond function for each
 // connection.
 func newUpstreamByConn(t *testing.T, accept func() (respond func(n int, id string) string)) oriole.Upstream {
+	t.Helper()
+	return listenByConn(t, func() (serve func(net.Conn)) {
+		respond := accept()
+		return func(conn net.Conn) { serveConn(conn, respond) }
+	})
+}
+
+// listen starts a server that serves each connection, and closes it afterwards.
+func listen(t *testing.T, serve func(net.Conn)) oriole.Upstream {
+	t.Helper()
+	return listenByConn(t, func() func(net.Conn) { return serve })
+}
+
+// listenByConn starts such a server with a serve function for each connection.
+func listenByConn(t *testing.T, accept func() (serve func(net.Conn))) oriole.Upstream {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -46,14 +62,17 @@
 			if err != nil {
 				return
 			}
-			go serveConn(conn, accept())
+			serve := accept()
+			go func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn)
+			}()
 		}
 	}()
 	return oriole.Upstream{ID: "i-1", Addr: netip.MustParseAddrPort(l.Addr().String()), StartedAt: time.Unix(1, 0)}
 }
 
 func serveConn(conn net.Conn, respond func(n int, id string) string) {
-	defer func() { _ = conn.Close() }()
 	in := bufio.NewReader(conn)
 	for n := 0; ; n++ {
 		req, err := http.ReadRequest(in)
@@ -273,38 +292,25 @@
 // and then with a text that it repeats until the connection is closed. It reports
 // how many bytes it sent on each connection.
 func newEndlessUpstream(t *testing.T, prefix func(id string) string, endless string) (to oriole.Upstream, sent <-chan int) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
+	t.Helper()
 	counts := make(chan int, 16)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				req, err := http.ReadRequest(bufio.NewReader(conn))
-				if err != nil {
-					return
-				}
-				block := strings.Repeat(endless, 512)
-				// One write: bytes that come after the connection is idle again can
-				// meet the next request.
-				n, err := io.WriteString(conn, prefix(req.Header.Get("X-Attempt-Id"))+block)
-				for err == nil {
-					var m int
-					m, err = io.WriteString(conn, block)
-					n += m
-				}
-				counts <- n
-			}()
+	to = listen(t, func(conn net.Conn) {
+		req, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
 		}
-	}()
-	return oriole.Upstream{ID: "i-1", Addr: netip.MustParseAddrPort(l.Addr().String()), StartedAt: time.Unix(1, 0)}, counts
+		block := strings.Repeat(endless, 512)
+		// One write: bytes that come after the connection is idle again can meet the
+		// next request.
+		n, err := io.WriteString(conn, prefix(req.Header.Get("X-Attempt-Id"))+block)
+		for err == nil {
+			var m int
+			m, err = io.WriteString(conn, block)
+			n += m
+		}
+		counts <- n
+	})
+	return to, counts
 }
 
 // TestCallsOnNewConnections checks that a late copy of an earlier response is not
@@ -672,29 +678,15 @@
 // waits until its caller closes the connection.
 func newStallingUpstream(t *testing.T, n int) oriole.Upstream {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				in := bufio.NewReader(conn)
-				req, err := http.ReadRequest(in)
-				if err != nil {
-					return
-				}
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: "+req.Header.Get("X-Attempt-Id")+"\r\nX-Response-Signature: s\r\n\r\n"+strings.Repeat("a", n))
-				_, _ = io.Copy(io.Discard, req.Body)
-				_, _ = in.ReadByte()
-			}()
+	return listen(t, func(conn net.Conn) {
+		in := bufio.NewReader(conn)
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
 		}
-	}()
-	return oriole.Upstream{ID: "i-1", Addr: netip.MustParseAddrPort(l.Addr().String()), StartedAt: time.Unix(1, 0)}
+		head := "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + req.Header.Get("X-Attempt-Id") + "\r\nX-Response-Signature: s\r\n\r\n"
+		_, _ = io.WriteString(conn, head+strings.Repeat("a", n))
+		_, _ = io.Copy(io.Discard, req.Body)
+		_, _ = in.ReadByte()
+	})
 }
--- a/pkg/oriole/orioleassign/cut_test.go
+++ b/pkg/oriole/orioleassign/cut_test.go
@@ -125,23 +125,19 @@
 	return refused
 }
 
+func closedAt(s *sim, gateways []*simGateway, srv *simServer) bool {
+	return !slices.ContainsFunc(gateways, func(g *simGateway) bool {
+		_, ended := s.refuses(g, srv)
+		return !ended
+	})
+}
+
 func closedAtLeader(s *sim, srv *simServer) bool {
 	g := s.leader()
-	if g == nil {
-		return false
-	}
-	_, ended := s.refuses(g, srv)
-	return ended
+	return g != nil && closedAt(s, []*simGateway{g}, srv)
 }
 
-func closedAtAll(s *sim, srv *simServer) bool {
-	for _, g := range s.gateways {
-		if _, ended := s.refuses(g, srv); !ended {
-			return false
-		}
-	}
-	return true
-}
+func closedAtAll(s *sim, srv *simServer) bool { return closedAt(s, s.gateways, srv) }
 
 func closedAtAllAndUnlisted(s *sim, srv *simServer) bool {
 	return closedAtAll(s, srv) && !srv.registered
