Bodies of upstreams are counted as they are read

readBody had a loop of its own that doubled a buffer and took its capacity from the memory. A reader that takes the bytes it reads serves as well, beside io.ReadAll, and is less code.

TestReaderTakesWhatItReads is new.

--- a/internal/orioleupstream/client.go
+++ b/internal/orioleupstream/client.go
@@ -18,8 +18,6 @@
 	// MaxBodyBytes is the maximum size of a response body in bytes. Bodies are
 	// buffered whole, so that a truncated one is never passed on as complete.
 	MaxBodyBytes = 8 << 20
-	// minBodyBuffer is the initial size in bytes of the buffer of a body.
-	minBodyBuffer = 4 << 10
 	// defaultIdleTimeout is how long an idle connection is kept if the upstream
 	// does not announce its own idle timeout.
 	defaultIdleTimeout = 4 * time.Second
@@ -262,35 +260,17 @@
 	c.idle = nil
 }
 
-// readBody reads the body to its end. It does not close it: that would read an
-// endless one on, and the body holds no resource but the connection. The buffer grows
-// with what arrives, and is taken from the hold.
+// readBody reads the body to its end, and takes its memory from the hold. It does not
+// close it: that would read an endless one on, and the body holds no resource but the
+// connection.
 func readBody(resp *http.Response, hold *oriolememory.Hold) (body []byte, err error) {
-	if resp.Body == http.NoBody {
-		return nil, nil
-	}
-	if resp.ContentLength > MaxBodyBytes {
+	if resp.Body != http.NoBody && resp.ContentLength > MaxBodyBytes {
 		return nil, ErrBodyTooLarge
 	}
 	hold.Reset()
-	for {
-		if len(body) == cap(body) {
-			// One more byte than the maximum shows that a body exceeds it.
-			size := min(max(2*cap(body), minBodyBuffer), MaxBodyBytes+1)
-			if err := hold.Grow(int64(size - cap(body))); err != nil {
-				return nil, err
-			}
-			body = append(make([]byte, 0, size), body...)
-		}
-		n, err := resp.Body.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case len(body) > MaxBodyBytes:
-			return nil, ErrBodyTooLarge
-		case err == io.EOF:
-			return body, nil
-		case err != nil:
-			return nil, err
-		}
+	body, err = io.ReadAll(io.LimitReader(hold.Reader(resp.Body), MaxBodyBytes+1))
+	if err == nil && len(body) > MaxBodyBytes {
+		return nil, ErrBodyTooLarge
 	}
+	return body, err
 }
--- a/pkg/oriole/oriolememory/memory.go
+++ b/pkg/oriole/oriolememory/memory.go
@@ -3,6 +3,7 @@
 package oriolememory
 
 import (
+	"io"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -116,3 +117,21 @@
 	}
 	h.n = 0
 }
+
+// Reader returns a reader of r that takes the bytes that it reads. It fails with
+// [ErrFull] once they exceed the bounds.
+func (h *Hold) Reader(r io.Reader) io.Reader { return &reader{r, h} }
+
+type reader struct {
+	io.Reader
+	hold *Hold
+}
+
+// Read implements io.Reader.
+func (r *reader) Read(data []byte) (n int, err error) {
+	n, err = r.Reader.Read(data)
+	if full := r.hold.Grow(int64(n)); full != nil {
+		return 0, full
+	}
+	return n, err
+}
--- a/pkg/oriole/oriolememory/memory_test.go
+++ b/pkg/oriole/oriolememory/memory_test.go
@@ -1,7 +1,9 @@
 package oriolememory_test
 
 import (
+	"bytes"
 	"fmt"
+	"io"
 	"testing"
 
 	"github.com/matryer/is"
@@ -79,3 +81,19 @@
 		}
 	})
 }
+
+// TestReaderTakesWhatItReads checks that a read fails once its bytes exceed the bound, and
+// that they are held until then.
+func TestReaderTakesWhatItReads(t *testing.T) {
+	is := is.New(t)
+	p := oriolememory.NewPool(1<<20, 1<<20)
+	h, release := p.Hold("a")
+	data, err := io.ReadAll(h.Reader(bytes.NewReader(make([]byte, 1<<20))))
+	is.NoErr(err)
+	is.Equal(len(data), 1<<20)
+	is.Equal(p.Usage().Used, int64(1<<20))
+	_, err = io.ReadAll(h.Reader(bytes.NewReader(make([]byte, 1))))
+	is.Equal(err, oriolememory.ErrFull)
+	release()
+	is.Equal(p.Usage().Used, int64(0))
+}
