Log the requests to cold upstreams

Cause: one request in 64 is logged, so that the logs could not tell who sends to a cold upstream, with what tokens and by what view of the members. Change: a dispatcher logs every 250 ms how many requests it has sent to each cold or suspect upstream, the tokens left, and the dispatcher that its view ranks first; at most 40 lines a second.

--- a/internal/oriolerouter/orioledispatcher/crash_test.go
+++ b/internal/oriolerouter/orioledispatcher/crash_test.go
@@ -24,7 +24,7 @@
 		State: fixedState{state}, Timers: orioletimer.New(), Metrics: orioletelemetry.NewMetrics(), Log: &log.Logger{Handler: discard.New()},
 		ReportCrash: func(oriolecrash.Fingerprint, oriole.Incarnation) {}, CloseIdleConns: func(func(oriole.Incarnation) bool) {},
 	}, suture.Spec{})
-	return &poolDuty{dispatcher: disp, pools: make(map[oriole.PoolID]*poolState), crashes: oriolecrash.New(), idempotency: orioleidempotency.New()}, state
+	return &poolDuty{dispatcher: disp, pools: make(map[oriole.PoolID]*poolState), crashes: oriolecrash.New(), idempotency: orioleidempotency.New(), cold: newColdReport()}, state
 }
 
 // newCrashRequest returns a request that may be blamed for a crash.
--- a/internal/oriolerouter/orioledispatcher/duty.go
+++ b/internal/oriolerouter/orioledispatcher/duty.go
@@ -39,6 +39,10 @@
 	// reportDue is set if one has changed since the durations were last reported.
 	limits    *oriolelimit.Ledger
 	reportDue bool
+	// cold counts the requests to cold upstreams that are to be logged, and rankings ranks
+	// the dispatchers of their pools.
+	cold     *coldReport
+	rankings orioleplacement.RankingCache
 }
 
 // poolState is a pool and its requests.
@@ -49,7 +53,7 @@
 }
 
 func newPoolDuty(disp *Dispatcher) *poolDuty {
-	return &poolDuty{dispatcher: disp, departures: orioledeparture.New(), pauses: oriolepause.New(), limits: oriolelimit.New()}
+	return &poolDuty{dispatcher: disp, departures: orioledeparture.New(), pauses: oriolepause.New(), limits: oriolelimit.New(), cold: newColdReport()}
 }
 
 func (d *poolDuty) String() string { return "keep pools" }
@@ -286,6 +290,7 @@
 		d.reportDurations(ctx)
 	}
 	d.withdrawCrashes(now)
+	d.reportCold(now)
 	for id, p := range d.pools {
 		switch {
 		case p.pool.QueueLen() > 0:
@@ -341,7 +346,9 @@
 			if !d.dispatcher.sendJobs.Offer(s) {
 				p.pool.Finish(d.dispatcher.cfg.Timers.Now(), effect.Start.Job, oriole.NotRunResponse(oriole.ReasonQueueFull))
 				d.execute(ctx, id, p)
+				continue
 			}
+			d.cold.add(d.dispatcher.cfg.Timers.Now(), id, effect.Start)
 		case effect.Reply != nil:
 			req := p.jobs[effect.Reply.Job]
 			delete(p.jobs, effect.Reply.Job)
--- a/internal/oriolerouter/oriolelog/message.go
+++ b/internal/oriolerouter/oriolelog/message.go
@@ -56,7 +56,10 @@
 	MessageUpstreamPaused = "upstream paused"
 	// MessageUpstreamLimited says that an upstream has named, changed or withdrawn the
 	// rate at which it takes requests.
-	MessageUpstreamLimited   = "upstream limited"
+	MessageUpstreamLimited = "upstream limited"
+	// MessageColdRequests gives the number of requests that the dispatcher has sent to a
+	// cold or suspect upstream, and why it took itself for the dispatcher.
+	MessageColdRequests      = "requests to cold upstream"
 	MessageZoneChanged       = "zone"
 	MessageDirectoryLost     = "directory lost"
 	MessageDirectoryRegained = "directory regained"
--- a/pkg/oriole/oriolepool/pool.go
+++ b/pkg/oriole/oriolepool/pool.go
@@ -50,6 +50,10 @@
 	// Probe is set if the upstream has asked for a pause and gets the request all the
 	// same.
 	Probe bool
+	// RateLimited is set if the upstream is cold or suspect, and Tokens is then the number
+	// of further requests that it may get now.
+	RateLimited bool
+	Tokens      float64
 }
 
 // Reply is the final response to a job, whether it was sent or refused.
@@ -435,7 +439,9 @@
 	p.limits.Count(now, s.upstream.Incarnation())
 	p.running[j.id] = j
 	p.shares.start(j.request.Workspace)
-	p.effects = append(p.effects, Effect{Start: &Start{Job: j.id, To: s.upstream, Request: j.request, Probe: probe}})
+	p.effects = append(p.effects, Effect{Start: &Start{
+		Job: j.id, To: s.upstream, Request: j.request, Probe: probe, RateLimited: s.rateLimited(now), Tokens: s.tokens,
+	}})
 }
 
 // pickServer returns the available upstream with the shortest expected duration,
