--- a/internal/oriolerouter/orioleleader/leader.go
+++ b/internal/oriolerouter/orioleleader/leader.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/thejerf/suture/v4"
 
+	"github.com/orioleswitch/orioleswitch/internal/oriolerouter/oriolelog"
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleassign"
@@ -39,6 +40,8 @@
 	storeCallers = 2
 	// tickInterval bounds the delay until a lease call that is due is sent.
 	tickInterval = 50 * time.Millisecond
+	// waitReportInterval is how often ranges are logged whose keys nobody serves.
+	waitReportInterval = 500 * time.Millisecond
 )
 
 // StateSource provides the cluster state and accepts assignments that were read
@@ -198,6 +201,8 @@
 	published map[oriole.ServiceName]*oriole.Assignment
 	// passes holds the number of passes of each state machine that are counted.
 	passes map[oriole.ServiceName]int64
+	// nextReport is when ranges that wait are next logged.
+	nextReport time.Time
 }
 
 func (d *decideDuty) String() string { return "decide" }
@@ -226,6 +231,7 @@
 			d.step(ctx, event{"", func(now time.Time, m *orioleassign.Machine) { m.SetClusterState(now, state) }})
 		case <-ticks:
 			d.step(ctx, event{"", func(now time.Time, m *orioleassign.Machine) { m.Tick(now) }})
+			d.reportWaits(l.cfg.Timers.Now())
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -283,6 +289,28 @@
 	}
 }
 
+// reportWaits logs what the ranges wait for whose keys nobody serves.
+func (d *decideDuty) reportWaits(now time.Time) {
+	if now.Before(d.nextReport) {
+		return
+	}
+	d.nextReport = now.Add(waitReportInterval)
+	for service, m := range d.machines {
+		w := m.Waits(now)
+		if w.Ranges == 0 {
+			continue
+		}
+		fields := log.Fields{
+			"service": service, "term": m.Assignment().Term, "ranges": w.Ranges, "keys": w.Keys, "owners": w.PriorOwners, "ungranted": w.Ungranted,
+			"leaders": w.PriorLeaders, "unknown": w.UnknownLeaders,
+		}
+		if !w.Until.IsZero() {
+			fields["until"] = w.Until.Sub(now).String()
+		}
+		d.leader.cfg.Log.WithFields(fields).Info(oriolelog.MessageKeysWait)
+	}
+}
+
 // execute carries out the effects that the state machine returns. It never waits for a
 // duty that makes calls, as that may wait to pass on a result. A state machine has one
 // call to the store of each kind in progress.
--- a/internal/oriolerouter/oriolelog/message.go
+++ b/internal/oriolerouter/oriolelog/message.go
@@ -95,7 +95,9 @@
 	MessageStepDown      = "step-down"
 	// MessageUpstreamDown says that the leader's calls to an upstream failed
 	// repeatedly, and MessageUpstreamEnded that its incarnation has ended.
-	MessageUpstreamDown  = "down"
+	MessageUpstreamDown = "down"
+	// MessageKeysWait says what the ranges of a leader wait for whose keys nobody serves.
+	MessageKeysWait      = "keys wait"
 	MessageUpstreamEnded = "ended"
 )
 
