An upstream that refuses releases gets few of them

Cause: each range with a lost prior owner was released every 150 ms, each time over a new connection: up to 3,000 a second for 470 ranges. The leader has a fraction of a core and sends grants from the same process. The class is that of docs/incidents/overloaded-leader.md: what fails makes more work. Change: an upstream to which a release found no connection gets one at a time, half a second apart, for all of its ranges. Result: TestLostPriorOwnerGetsFewReleases: 104 releases of 8 ranges in 2 s before, 12 allowed.

--- a/pkg/oriole/orioleassign/call.go
+++ b/pkg/oriole/orioleassign/call.go
@@ -164,12 +164,22 @@
 	m.dirty = true
 }
 
+// mayRelease reports whether another release may be sent to the upstream. If the last one
+// found no connection, they are sent one at a time, and not as soon as the ranges of an
+// upstream that answers: a lost one may be the prior owner of many.
+func (st *upstreamStatus) mayRelease(now time.Time) bool {
+	if !st.releaseFailedAt.IsZero() {
+		return st.releasing == 0 && now.Sub(st.releaseFailedAt) >= failedReleaseDelay
+	}
+	return st.releasing < maxConcurrentReleases
+}
+
 // sendReleases requests the release calls that are due to prior owners of l.
 func (m *Machine) sendReleases(now time.Time, l *lease) {
 	for i := range l.priorOwners {
 		p := &l.priorOwners[i]
 		st := m.status(p.incarnation)
-		if !p.repeatAnswered.IsZero() || p.nextRelease.After(now) || st.releasing >= maxConcurrentReleases {
+		if !p.repeatAnswered.IsZero() || p.nextRelease.After(now) || !st.mayRelease(now) {
 			continue
 		}
 		to, found := m.upstream(p.incarnation)
@@ -298,6 +308,9 @@
 		m.grantDone(now, c, r)
 	case callRelease:
 		st.releasing--
+		if r.Err == nil {
+			st.releaseFailedAt = time.Time{}
+		}
 		m.releaseDone(now, c, r)
 	case callProbe:
 		st.probing = false
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -45,8 +45,11 @@
 	candidateDelay = 400 * time.Millisecond
 	// callRetryDelay is the delay before a call to an upstream is retried,
 	// writeRetryDelay the delay after a failed write.
-	callRetryDelay  = 150 * time.Millisecond
-	writeRetryDelay = 300 * time.Millisecond
+	callRetryDelay = 150 * time.Millisecond
+	// failedReleaseDelay is the delay before an upstream to which a release found no
+	// connection gets another.
+	failedReleaseDelay = 500 * time.Millisecond
+	writeRetryDelay    = 300 * time.Millisecond
 	// readRetryDelay is the delay after a failed read.
 	readRetryDelay = time.Second
 	// confirmRetryDelay is the delay after a failed read before the leadership is
--- a/pkg/oriole/orioleassign/scale_test.go
+++ b/pkg/oriole/orioleassign/scale_test.go
@@ -154,3 +154,39 @@
 		t.Errorf("%d releases, published %d times, want %d at least and once", len(releases), published, drained)
 	}
 }
+
+// TestLostPriorOwnerGetsFewReleases guards against a leader that is busy with releases of
+// each range at upstreams that refuse connections, while others wait for their grants.
+func TestLostPriorOwnerGetsFewReleases(t *testing.T) {
+	const rangesPerUpstream = 8
+	m, now := newLargeLeader(20, rangesPerUpstream)
+	state := m.state.Clone()
+	lost := state.Upstreams["srv0000"]
+	lost.Draining = true
+	state.EditUpstreams()[lost.ID] = lost
+	state.BuildIndex()
+	m.SetClusterState(now, state)
+	releases := 0
+	const span = 2 * time.Second
+	for end := now.Add(span); now.Before(end); now = now.Add(50 * time.Millisecond) {
+		m.confirmLeadership(now)
+		m.Tick(now)
+		for _, e := range m.TakeEffects() {
+			switch {
+			case e.Write != nil:
+				m.WriteDone(now, now, e.Write.Assignment, m.version.Next(), nil)
+			case e.Grant != nil:
+				m.CallDone(now, e.Grant.ID, Result{Conn: 1})
+			case e.Release != nil && e.Release.To.ID != lost.ID:
+				m.CallDone(now, e.Release.ID, Result{})
+			case e.Release != nil:
+				releases++
+				m.CallDone(now, e.Release.ID, Result{Err: oriole.ErrConnRefused})
+			}
+		}
+	}
+	// One attempt for each range, and then two a second.
+	if most := rangesPerUpstream + 2*int(span/time.Second); releases == 0 || releases > most {
+		t.Errorf("%d releases of %d ranges in %v to an upstream that refuses them, want %d at most", releases, rangesPerUpstream, span, most)
+	}
+}
