An upstream that refused a connection gets requests last

For 0.25 to 0.5 s after it refused a connection, an upstream gets no requests. After that, the pool treated it as any other, and preferred it to idle ones with the same or a longer mean duration, although it had probably ended: a directory entry outlives its upstream. Each such request came back as not run, and its caller got 503 with the reason "connection" when the retry budget of its gateway was used up.

Within 1.5 s of the refusal (suspectDuration) the upstream now gets only requests that no other one of the pool can take. One that broke a connection is chosen as before: the next request shows whether it has ended, and the detection of requests that crash upstreams needs that.

TestRefusingUpstreamComesLast fails before.

--- a/pkg/oriole/oriolepool/pool.go
+++ b/pkg/oriole/oriolepool/pool.go
@@ -1,6 +1,7 @@
 package oriolepool
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -439,14 +440,17 @@
 }
 
 // pickServer returns the available upstream with the shortest expected duration,
-// or nil.
+// or nil. One that refused a connection a moment ago comes last: if it refuses the next
+// one too, the request is sent again only if the retry budget allows it. One that broke
+// a connection does not: the next request shows whether it has ended, and the detection
+// of requests that crash upstreams needs that.
 func (p *Pool) pickServer(now time.Time) *server {
 	var best *server
 	for _, s := range p.servers {
 		if !p.canStart(now, s) || !p.pauses.Until(now, s.upstream.Incarnation()).IsZero() {
 			continue
 		}
-		if best == nil || s.expectedDuration() < best.expectedDuration() {
+		if best == nil || s.compare(now, best) < 0 {
 			best = s
 		}
 	}
@@ -477,6 +481,19 @@
 	return s.meanDuration + s.meanDuration*time.Duration(s.running)/4
 }
 
+// compare orders two available upstreams by which should get the next request: first
+// those that have not refused a connection a moment ago, then by expected duration.
+func (s *server) compare(now time.Time, other *server) int {
+	refused, otherRefused := now.Before(s.refusedUntil), now.Before(other.refusedUntil)
+	switch {
+	case refused != otherRefused && refused:
+		return 1
+	case refused != otherRefused:
+		return -1
+	}
+	return cmp.Compare(s.expectedDuration(), other.expectedDuration())
+}
+
 // nextJob returns the index of the request to start on the upstream.
 func (p *Pool) nextJob(now time.Time, s *server) int {
 	best := 0
--- a/pkg/oriole/oriolepool/pool_test.go
+++ b/pkg/oriole/oriolepool/pool_test.go
@@ -146,6 +146,28 @@
 	}
 }
 
+// TestRefusingUpstreamComesLast guards against refusing a request because it is sent to an
+// upstream that has probably ended, although another one of the pool is idle.
+func TestRefusingUpstreamComesLast(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(server("a"), server("b"))
+	h.arrive(0, 0, 0, 5*time.Second)
+	refusing := h.started[0]
+	h.Finish(atMs(5), 0, oriole.NotRunResponse(oriole.ReasonConnection))
+	h.collect()
+	// The pause after the refusal is over.
+	h.arrive(300, 1, 0, 5*time.Second)
+	h.arrive(300, 2, 0, 5*time.Second)
+	is.True(h.started[1] != refusing && h.started[2] != refusing)
+	h.arrive(300, 3, 0, 5*time.Second)
+	is.Equal(h.started[3], refusing) // the other upstream's slots are full
+	for id := oriolepool.JobID(1); id < 4; id++ {
+		h.done(400, id)
+	}
+	h.arrive(1600, 4, 0, 5*time.Second)
+	is.Equal(h.started[4], refusing) // as before the refusal
+}
+
 func TestEvictRefusesAsMoved(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(server("a"))
--- a/pkg/oriole/oriolepool/server.go
+++ b/pkg/oriole/oriolepool/server.go
@@ -26,7 +26,8 @@
 	// later.
 	suspectDuration = 1500 * time.Millisecond
 	// refusedPause is how long an upstream that refused a connection gets no
-	// requests.
+	// requests. Until suspectDuration has passed, it gets only those that no other
+	// upstream of the pool can take.
 	refusedPause = 250 * time.Millisecond
 	// reachInterval is the time between two attempts to reach an upstream that did not
 	// answer an attempt to connect.
@@ -46,10 +47,11 @@
 	// durations that went into it.
 	longTermMean time.Duration
 	samples      int
-	// The upstream is rate-limited until suspectUntil, and gets no requests until
-	// pausedUntil.
+	// The upstream is rate-limited until suspectUntil, gets no requests until
+	// pausedUntil, and only those that no other can take until refusedUntil.
 	suspectUntil time.Time
 	pausedUntil  time.Time
+	refusedUntil time.Time
 	// unreachable is set if the upstream did not answer the last attempt to connect, or
 	// refused it while no request was running. It then gets one request at a time, from
 	// reachAt on.
@@ -127,6 +129,7 @@
 	case response.Outcome == oriole.OutcomeNotRun && response.Reason == oriole.ReasonConnection:
 		s.pausedUntil = now.Add(refusedPause)
 		s.suspectUntil = now.Add(suspectDuration)
+		s.refusedUntil = s.suspectUntil
 	case response.Reason == oriole.ReasonConnection:
 		s.suspectUntil = now.Add(suspectDuration)
 	case response.Reason == oriole.ReasonShed:
