A request that waits for a lost upstream's place takes a new one

When three dispatchers have failed to reach the upstreams of its pool, a request waits up to 1 s until it is routed to another pool. The pool of a service that is not sharded keeps its identity when its upstreams change, so the request waited for the whole second although others had been listed, and was then sent to a dispatcher for the last time.

The wait now ends when the pool has an upstream that it did not have when the request was last routed. One upstream less does not end it.

TestReachWaitEndsWithOtherUpstream fails before.

--- a/internal/oriolerouter/orioleingress/forwarder.go
+++ b/internal/oriolerouter/orioleingress/forwarder.go
@@ -174,7 +174,7 @@
 		switch {
 		case resp.Outcome != oriole.OutcomeNotRun:
 		case resp.Reason == oriole.ReasonUnreachable && tried.unreachable >= maxUnreachable:
-			f.waitForOtherPool(ctx, r)
+			f.waitForOtherUpstream(ctx, r, tried.state)
 		case resp.Reason == oriole.ReasonMoved, resp.Reason == oriole.ReasonPaused, resp.Reason == oriole.ReasonUnreachable:
 			// The next attempt goes elsewhere.
 		default:
@@ -475,14 +475,22 @@
 	return cmp.Or(sameZone, failing, f.cfg.Self.ID)
 }
 
-// waitForOtherPool waits until the request is routed to another pool, as it is soon
-// after the loss of an upstream, or until lossTimeout has passed.
-func (f *Forwarder) waitForOtherPool(ctx context.Context, r oriole.Request) {
+// waitForOtherUpstream waits until the request is routed to another pool, as it is soon
+// after the loss of an upstream that owned the key, or until its pool has an upstream that
+// it did not have in the state before, or until lossTimeout has passed.
+func (f *Forwarder) waitForOtherUpstream(ctx context.Context, r oriole.Request, before *oriole.ClusterState) {
 	ctx, cancel := context.WithTimeout(ctx, lossTimeout)
 	defer cancel()
 	for {
 		state, updated := f.cfg.State.Watch()
-		if pool, reason := f.poolFor(state, r); reason != oriole.ReasonNone || pool != r.Pool {
+		pool, reason := f.poolFor(state, r)
+		if reason != oriole.ReasonNone || pool != r.Pool {
+			return
+		}
+		if hasOtherUpstream(state, before, pool) {
+			// The dispatcher may learn of it a few milliseconds later, and the attempt
+			// that follows is the last.
+			pause(ctx, retryPause)
 			return
 		}
 		select {
@@ -493,6 +501,25 @@
 	}
 }
 
+// hasOtherUpstream reports whether the pool has an upstream in the state that it did not
+// have in the one before.
+func hasOtherUpstream(state, before *oriole.ClusterState, pool oriole.PoolID) bool {
+	known := orioleplacement.Upstreams(before, pool)
+	return slices.ContainsFunc(orioleplacement.Upstreams(state, pool), func(u oriole.Upstream) bool {
+		return !slices.ContainsFunc(known, func(k oriole.Upstream) bool { return k.Incarnation() == u.Incarnation() })
+	})
+}
+
+// pause waits for the duration, or until ctx is done.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // waitForUpdate waits until the cluster state changes or the timeout expires.
 func (f *Forwarder) waitForUpdate(ctx context.Context, timeout time.Duration) {
 	_, updated := f.cfg.State.Watch()
--- a/internal/oriolerouter/orioleingress/forwarder_test.go
+++ b/internal/oriolerouter/orioleingress/forwarder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"testing"
@@ -296,6 +297,67 @@
 	}
 }
 
+// replacedStateSource returns its first cluster state until the dispatcher has been
+// asked maxUnreachable times and the state has been watched once more, and then the next.
+type replacedStateSource struct {
+	first, next *oriole.ClusterState
+	dispatcher  *scriptedDispatcher
+	replaced    bool
+}
+
+func (s *replacedStateSource) Snapshot() *oriole.ClusterState {
+	if s.replaced {
+		return s.next
+	}
+	return s.first
+}
+
+func (s *replacedStateSource) Watch() (*oriole.ClusterState, <-chan struct{}) {
+	changed := make(chan struct{})
+	state := s.Snapshot()
+	if !s.replaced && s.dispatcher.attempts >= maxUnreachable {
+		s.replaced = true
+		close(changed)
+	}
+	return state, changed
+}
+
+// TestReachWaitEndsWithOtherUpstream guards against a request that waits for lossTimeout,
+// since the upstreams of its pool were lost, although another has been listed in the pool;
+// and against one that spends its last attempt when no other has.
+func TestReachWaitEndsWithOtherUpstream(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// changed is the upstream that is added or replaced.
+		changed oriole.Upstream
+		waits   bool
+	}{
+		{"another upstream", oriole.Upstream{ID: "j", Service: "s", Zone: "z", Slots: 2}, false},
+		{"a successor", oriole.Upstream{ID: "i", Service: "s", Zone: "z", Slots: 2, StartedAt: time.UnixMilli(2)}, false},
+		{"an upstream of another service", oriole.Upstream{ID: "j", Service: "t", Zone: "z", Slots: 2}, true},
+		{"one upstream less", oriole.Upstream{ID: "k", Service: "s", Zone: "z", Slots: 2, Draining: true}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			unreachable := oriole.NotRunResponse(oriole.ReasonUnreachable)
+			answered := oriole.Response{Outcome: oriole.OutcomeAnswered, Status: 200}
+			dispatcher := &scriptedDispatcher{responses: []oriole.Response{unreachable, unreachable, unreachable, answered}}
+			forwarder := newForwarder(dispatcher)
+			first, next := forwarder.cfg.State.Snapshot(), oriole.NewClusterState()
+			first.Upstreams["k"] = oriole.Upstream{ID: "k", Service: "s", Zone: "z", Slots: 2}
+			next.Config = first.Config
+			maps.Copy(next.Upstreams, first.Upstreams)
+			next.Upstreams[test.changed.ID] = test.changed
+			forwarder.cfg.State = &replacedStateSource{first: first, next: next, dispatcher: dispatcher}
+			sent := time.Now()
+			resp := forwarder.Do(context.Background(), oriole.Request{Service: "s", Deadline: sent.Add(time.Minute)}, 1)
+			is.Equal(resp.Outcome, oriole.OutcomeAnswered)
+			is.Equal(dispatcher.attempts, maxUnreachable+1)
+			is.Equal(time.Since(sent) >= lossTimeout, test.waits)
+		})
+	}
+}
+
 // Requests must stay in their zone unless the wait there exceeds the penalty for
 // another zone, and must stay there again once the reported wait has decayed.
 func TestPoolInSameZoneIsPreferred(t *testing.T) {
