The test of a crashing request waits until its upstreams are known

TestRequestThatCrashesUpstreamsIsRejected starts eight upstreams beside two, and sends the crashing request at once. Gateways learn of the first ones at once and of the others up to 0.15 s later, as a watch pauses for coalesceDelay after a change. If they knew only three, it crashed all of them, and the ordinary request got 503 with the reason "connection", since no known upstream was left: rightly so.

The test now waits until every gateway knows all ten upstreams. The bounds on the crashes are unchanged, and the ordinary request has to be served by all three gateways instead of one.

--- a/internal/oriolesite/site_test.go
+++ b/internal/oriolesite/site_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolesite"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/platform/standin"
 )
 
@@ -90,16 +91,34 @@
 	is.Equal(unknown.Status, http.StatusNotFound)
 }
 
+// usableUpstreams returns how many usable upstreams of the service the gateway knows.
+func usableUpstreams(g *oriolesite.Gateway, service oriole.ServiceName) int {
+	for _, status := range g.Router.Status().Services {
+		if status.Name == service {
+			return status.Usable
+		}
+	}
+	return 0
+}
+
 // TestRequestThatCrashesUpstreamsIsRejected checks that a request which crashes
 // every upstream that runs it is rejected by all gateways after three crashes, and
 // that other requests are still served.
 func TestRequestThatCrashesUpstreamsIsRejected(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t)
-	for i := 2; i < 10; i++ {
+	const upstreams = 10
+	for i := 2; i < upstreams; i++ {
 		_, err := s.StartUpstream(fmt.Sprintf("tow-%d", i), oriolesite.UnshardedService, netip.AddrPort{})
 		is.NoErr(err)
 	}
+	// Gateways that know only three upstreams have none left after three crashes, and
+	// rightly refuse all requests.
+	for _, vm := range oriolesite.VMs {
+		is.NoErr(s.Await(vm+" knows all upstreams", func() bool {
+			return usableUpstreams(s.Gateway(vm), oriolesite.UnshardedService) == upstreams
+		}))
+	}
 	sent := 0
 	is.NoErr(s.Await("every gateway rejects the request", func() bool {
 		rejected := 0
@@ -119,8 +138,11 @@
 	}
 	t.Logf("%d upstreams crashed by %d requests", crashed, sent)
 	is.True(crashed >= 3 && crashed <= 6) // three before the request is rejected, and those of requests in flight
-	other := s.Call("vm-b", oriolesite.Request{Method: http.MethodPost, Path: "/book/other", ShardKey: 1})
-	is.Equal(other.Status, http.StatusOK)
+	for _, vm := range oriolesite.VMs {
+		other := s.Call(vm, oriolesite.Request{Method: http.MethodPost, Path: "/book/other", ShardKey: 1})
+		t.Logf("another request at %s: status %d, reason %q", vm, other.Status, other.Reason)
+		is.Equal(other.Status, http.StatusOK)
+	}
 }
 
 // TestFaultyResponses checks that no caller is told that a request which ran has
