Leaders store how long unknown leaders are awaited

Cause: each successor began that wait anew, as the time at which it found the restore is its own. Change: the assignment states how much longer the leases of unknown leaders may run; the next leader uses what ends first.

--- a/internal/oriolemessage/codec_test.go
+++ b/internal/oriolemessage/codec_test.go
@@ -194,14 +194,20 @@
 	is := is.New(t)
 	a := assignment()
 	a.PriorLeases = []oriole.PriorLease{{Owner: a.Ranges[0].Owner, Remaining: 4*time.Second + 1}}
+	a.UnknownRemaining = time.Second + 1
 	got, err := oriolemessage.FromAssignment(a).ToAssignment()
 	is.NoErr(err)
 	is.Equal(got.PriorLeases, []oriole.PriorLease{{Owner: a.Ranges[0].Owner, Remaining: 4*time.Second + time.Microsecond}})
+	is.Equal(got.UnknownRemaining, time.Second+time.Microsecond)
 	for _, remaining := range []int64{-1, 1 << 62} {
 		m := oriolemessage.FromAssignment(a)
 		m.PriorLeases[0].Remaining = remaining
 		_, err := m.ToAssignment()
 		is.True(errors.Is(err, oriolemessage.ErrMalformed))
+		m = oriolemessage.FromAssignment(a)
+		m.UnknownRemaining = &remaining
+		_, err = m.ToAssignment()
+		is.True(errors.Is(err, oriolemessage.ErrMalformed))
 	}
 }
 
--- a/internal/oriolemessage/convert.go
+++ b/internal/oriolemessage/convert.go
@@ -211,13 +211,19 @@
 		m.PendingReleases = append(m.PendingReleases, PendingRelease{Server: string(r.Server), First: int(r.First), Last: int(r.Last)})
 	}
 	for _, l := range a.PriorLeases {
-		// Rounded up: a lease must not be taken for shorter than it is.
-		remaining := (l.Remaining + time.Microsecond - 1).Microseconds()
-		m.PriorLeases = append(m.PriorLeases, PriorLease{Owner: fromIncarnation(l.Owner), Remaining: remaining})
+		m.PriorLeases = append(m.PriorLeases, PriorLease{Owner: fromIncarnation(l.Owner), Remaining: fromRemaining(l.Remaining)})
+	}
+	if a.UnknownRemaining > 0 {
+		remaining := fromRemaining(a.UnknownRemaining)
+		m.UnknownRemaining = &remaining
 	}
 	return m
 }
 
+// fromRemaining converts the remaining time of a lease. It is rounded up: a lease must not
+// be taken for shorter than it is.
+func fromRemaining(d time.Duration) int64 { return (d + time.Microsecond - 1).Microseconds() }
+
 // maxPriorLease bounds the time for which a prior owner's lease may run. It is far above
 // the leases of any leader, and excludes overflows.
 const maxPriorLease = time.Hour
@@ -256,6 +262,12 @@
 		}
 		a.PriorLeases = append(a.PriorLeases, oriole.PriorLease{Owner: toIncarnation(l.Owner), Remaining: fromMicros(l.Remaining)})
 	}
+	if m.UnknownRemaining != nil {
+		if *m.UnknownRemaining < 0 || *m.UnknownRemaining > maxPriorLease.Microseconds() {
+			return a, errors.Wrap(ErrMalformed, "leases of unknown leaders: invalid time")
+		}
+		a.UnknownRemaining = fromMicros(*m.UnknownRemaining)
+	}
 	if a.Service == "" || !a.Valid() {
 		return a, errors.Wrap(ErrMalformed, "assignment: no service, or invalid ranges")
 	}
--- a/internal/oriolemessage/message_gen.go
+++ b/internal/oriolemessage/message_gen.go
@@ -38,6 +38,10 @@
 
 	// Term is incremented by each new leader of the service.
 	Term uint64 `json:"term"`
+
+	// UnknownRemaining is how much longer upstreams may hold leases of unknown
+	// leaders, in microseconds from when the assignment was written, or 0.
+	UnknownRemaining *int64 `json:"unknown,omitempty"`
 }
 
 // AssignmentRequest asks the leader of a service for its whole assignment.
--- a/pkg/oriole/assignment.go
+++ b/pkg/oriole/assignment.go
@@ -64,6 +64,10 @@
 	// PriorLeases tells for prior owners that own no range how much longer they may hold
 	// leases. It is stored for the next leader, and absent after a patch.
 	PriorLeases []PriorLease
+	// UnknownRemaining is how much longer upstreams may hold leases of unknown leaders,
+	// counted from when the assignment was written, or 0 if that is not known. It is absent
+	// after a patch.
+	UnknownRemaining time.Duration
 }
 
 // PriorLease is the time for which leases of a prior owner may still run, counted from when
--- a/pkg/oriole/orioleassign/leadership.go
+++ b/pkg/oriole/orioleassign/leadership.go
@@ -101,6 +101,9 @@
 	for _, g := range a.PriorLeaders {
 		if g == oriole.UnknownLeader {
 			m.awaitUnknownLeaders(now)
+			if a.UnknownRemaining > 0 {
+				m.unknownLeadersUntil = earlier(m.unknownLeadersUntil, m.endOfRemaining(now, a.UnknownRemaining))
+			}
 			continue
 		}
 		m.priorLeaders[g] = true
@@ -267,7 +270,7 @@
 	}
 	if lost {
 		// A leader whose record was lost may have granted them leases since.
-		next.PriorLeases = nil
+		next.PriorLeases, next.UnknownRemaining = nil, 0
 	}
 	next.Leader = m.cfg.Self
 	next.Seq = 1
--- a/pkg/oriole/orioleassign/plan.go
+++ b/pkg/oriole/orioleassign/plan.go
@@ -116,6 +116,7 @@
 	next.PriorLeaders = m.remainingPriorLeaders(now)
 	next.PendingReleases = m.pendingReleases()
 	next.PriorLeases = m.priorLeases(now, &next)
+	next.UnknownRemaining = max(0, m.unknownLeadersUntil.Sub(now))
 	m.nextPriorLeases = now.Add(priorLeasesInterval)
 	m.lastSeq++
 	next.Seq = m.lastSeq
--- a/pkg/oriole/orioleassign/priorlease.go
+++ b/pkg/oriole/orioleassign/priorlease.go
@@ -8,15 +8,16 @@
 
 // The time for which a lost owner's leases run on is known to its leader only. It is
 // stored with the assignment, as the next leader would have to assume that leases were
-// granted until its own term began.
+// granted until its own term began. The same holds for leases of unknown leaders.
 
-// priorLeasesDue reports whether the remaining leases of lost owners have to be stored.
+// priorLeasesDue reports whether the remaining leases of lost owners, or of unknown
+// leaders, have to be stored.
 func (m *Machine) priorLeasesDue(now time.Time) bool {
 	if m.nextPriorLeases.After(now) {
 		return false
 	}
 	m.nextPriorLeases = now.Add(priorLeasesInterval)
-	return len(m.priorLeases(now, &m.current)) > 0
+	return m.awaitsUnknownLeaders(now) || len(m.priorLeases(now, &m.current)) > 0
 }
 
 // priorLeases returns for how long the leases of the prior owners in an assignment may
@@ -61,16 +62,15 @@
 }
 
 // limitPriorLeases applies the remaining leases that the last leader has stored to the
-// prior owners. This leader's clock may be faster than that leader's.
+// prior owners.
 func (m *Machine) limitPriorLeases(now time.Time, stored []oriole.PriorLease) {
 	if len(stored) == 0 || m.awaitsUnknownLeaders(now) {
 		return
 	}
 	lastSent := make(map[oriole.Incarnation]time.Time, len(stored))
 	for _, s := range stored {
-		drift := time.Duration(float64(s.Remaining) * m.cfg.MaxClockDrift)
-		// leaseExpiry is s.Remaining and the drift from now for this time.
-		lastSent[s.Owner] = now.Add(s.Remaining + drift).Add(now.Sub(m.leaseExpiry(now)))
+		// leaseExpiry returns the end for this time.
+		lastSent[s.Owner] = m.endOfRemaining(now, s.Remaining).Add(now.Sub(m.leaseExpiry(now)))
 	}
 	for i := range m.leases {
 		for j := range m.leases[i].priorOwners {
@@ -81,3 +81,9 @@
 		}
 	}
 }
+
+// endOfRemaining returns when a time is over that a prior leader has stored. This leader's
+// clock may be faster than that leader's.
+func (m *Machine) endOfRemaining(now time.Time, remaining time.Duration) time.Time {
+	return now.Add(remaining + time.Duration(float64(remaining)*m.cfg.MaxClockDrift))
+}
--- a/pkg/oriole/orioleassign/priorlease_test.go
+++ b/pkg/oriole/orioleassign/priorlease_test.go
@@ -51,3 +51,31 @@
 		})
 	}
 }
+
+// TestUnknownLeadersAreAwaitedOnce guards against keys that wait anew for leaders whose
+// records were lost whenever the gateways are killed, while a silent server holds up the
+// sweep.
+func TestUnknownLeadersAreAwaitedOnce(t *testing.T) {
+	const absence = 500 * time.Millisecond
+	s := newSettledSim(t)
+	s.restoreAfterChange()
+	for _, g := range s.gateways {
+		s.cutLinks[[2]string{g.name, "srv0"}] = cutHangs
+	}
+	kills := []time.Duration{0, 8 * time.Second, 16 * time.Second}
+	for _, at := range kills {
+		s.schedule(at, func() {
+			for _, g := range s.gateways {
+				g.down = true
+				s.schedule(absence, func() { s.startGateway(g) })
+			}
+			s.publishState()
+		})
+	}
+	// The leader leases and leases of unknown leaders, and for each kill the time without a
+	// leader and since the last one stored how long it waits.
+	bound := simConfig.LeaderLease + 5600*time.Millisecond + time.Duration(len(kills))*(absence+2*time.Second)
+	if got := s.unownedFor(60 * time.Second); got > bound || s.violation != "" {
+		s.fail(t, 7, "keys without an owner for "+got.String()+", bound "+bound.String()+s.violation)
+	}
+}
--- a/pkg/oriole/orioleassign/restore.go
+++ b/pkg/oriole/orioleassign/restore.go
@@ -103,7 +103,7 @@
 		next.PriorLeaders = append(next.PriorLeaders, oriole.UnknownLeader)
 	}
 	next.PendingReleases = m.pendingReleases()
-	next.PriorLeases = nil
+	next.PriorLeases, next.UnknownRemaining = nil, 0
 	next.Term, next.Fence = laterEra(next, m.settleFrom.Era)
 	m.lastSeq++
 	next.Seq = m.lastSeq
--- a/pkg/oriole/patch.go
+++ b/pkg/oriole/patch.go
@@ -62,7 +62,7 @@
 	next = *a
 	next.PriorLeaders, next.PendingReleases = slices.Clone(a.PriorLeaders), slices.Clone(a.PendingReleases)
 	// They may hold leases again since.
-	next.PriorLeases = nil
+	next.PriorLeases, next.UnknownRemaining = nil, 0
 	next.Term, next.Leader, next.Seq, next.Fence = p.Term, p.Leader, p.Seq, p.Fence
 	next.Ranges = replaceRanges(a.rangesBefore(p), p.Ranges)
 	return next, next.Valid()
