Notice a pause before an update of the cluster state is applied

A dispatcher that resumes after a pause may take an update of the cluster state before any tick or request. Cause: updatePools passes the right to the pools without Monitor.Tick, so that queued requests go to a cold upstream by the right from before the pause. Change: updatePools observes the time first.

--- a/internal/oriolerouter/orioledispatcher/duty.go
+++ b/internal/oriolerouter/orioledispatcher/duty.go
@@ -184,6 +184,7 @@
 // updatePools applies a change of the cluster state to the pools, the crash
 // detector and the idle connections.
 func (d *poolDuty) updatePools(ctx context.Context, now time.Time) {
+	d.observe(ctx, now)
 	d.quorum.Update(now, d.dispatcher.cfg.State.Snapshot())
 	for id, p := range d.pools {
 		d.updatePool(now, id, p)
