Count the settle time of a resumed dispatcher from the current time

A dispatcher that was paused could keep its right to send to cold upstreams although another gateway had taken over. Cause: the channel of ticks holds one. A tick from before the pause carries an earlier time, and Monitor.Tick took that for the time at which the gateway ran on, so that the settle time was over at once after a pause of 1.1 s or more. Change: observe reads both clocks itself, the one that includes suspensions first.

--- a/internal/oriolerouter/orioledispatcher/cold.go
+++ b/internal/oriolerouter/orioledispatcher/cold.go
@@ -89,9 +89,12 @@
 }
 
 // observe takes in the time, and updates the pools if it may have changed which of them
-// this gateway is the only sender of.
-func (d *poolDuty) observe(ctx context.Context, now time.Time) {
-	changed := d.quorum.Tick(now, d.dispatcher.cfg.BootClock.Now())
+// this gateway is the only sender of. It reads the clocks itself, the one that shows a pause
+// first: the time of a tick may be from before the pause.
+func (d *poolDuty) observe(ctx context.Context) {
+	awake := d.dispatcher.cfg.BootClock.Now()
+	now := d.dispatcher.cfg.Timers.Now()
+	changed := d.quorum.Tick(now, awake)
 	if stopping := d.dispatcher.schedule.Load() != nil; stopping != d.stopping {
 		d.stopping, changed = stopping, true
 	}
--- a/internal/oriolerouter/orioledispatcher/duty.go
+++ b/internal/oriolerouter/orioledispatcher/duty.go
@@ -98,7 +98,7 @@
 }
 
 func (d *poolDuty) handle(ctx context.Context, now time.Time, e event) {
-	d.observe(ctx, now)
+	d.observe(ctx)
 	switch {
 	case e.submit != nil:
 		d.submit(ctx, now, e.submit)
@@ -184,7 +184,7 @@
 // updatePools applies a change of the cluster state to the pools, the crash
 // detector and the idle connections.
 func (d *poolDuty) updatePools(ctx context.Context, now time.Time) {
-	d.observe(ctx, now)
+	d.observe(ctx)
 	d.quorum.Update(now, d.dispatcher.cfg.State.Snapshot())
 	for id, p := range d.pools {
 		d.updatePool(now, id, p)
@@ -300,7 +300,7 @@
 	if d.reportDue {
 		d.reportDurations(ctx)
 	}
-	d.observe(ctx, now)
+	d.observe(ctx)
 	d.withdrawCrashes(now)
 	d.reportCold(now)
 	for id, p := range d.pools {
--- a/internal/oriolerouter/orioledispatcher/resume_test.go
+++ b/internal/oriolerouter/orioledispatcher/resume_test.go
@@ -39,3 +39,15 @@
 	c.collect(paused)
 	is.Equal(c.senders[paused.self.ID], before)
 }
+
+// TestTickFromBeforePauseSendsNothing guards against a gateway that resumes with a tick that
+// was sent before its pause and counts its settle time from then on.
+func TestTickFromBeforePauseSendsNothing(t *testing.T) {
+	is := is.New(t)
+	c, paused, lastTick := pausedSender(t)
+	before := c.senders[paused.self.ID]
+	paused.duty.tick(context.Background(), lastTick)
+	paused.duty.tick(context.Background(), c.clock.now)
+	c.collect(paused)
+	is.Equal(c.senders[paused.self.ID], before)
+}
