A gateway that is cut off from all monitors sends to no cold upstream

In clusters of more than 12 gateways, a sender of a cold upstream that was cut off from all others went on beside its successor for 3 s. Cause: while no monitor is heard, the detector keeps the gateways alive that it last knew, for 3.3 s, so that the gateway still saw a majority. The same held for a zone that has none of the monitors. Change: Detector.Unheard also reports a gateway that has lost the monitors and hears no more than half of those that replace them. Result: TestIsolatedGatewayLosesTenure (40 gateways) and TestIsolatedZoneLosesTenure (two of five zones) failed before, with two holders of the right for 3 s in the first; none now.

--- a/pkg/oriole/orioleliveness/detector.go
+++ b/pkg/oriole/orioleliveness/detector.go
@@ -59,6 +59,10 @@
 	monitorSince time.Time
 	monitorHeard time.Time
 	fullMesh     bool
+	// monitorKnown is set once a monitor whose reports count was heard from. cutOff is set
+	// while none is heard any more, nor more than half of the monitors that are selected now.
+	monitorKnown bool
+	cutOff       bool
 	// lastTick is the time of the last Tick, lastTickLate whether it came late, and
 	// graceUntil the time until which no gateway is judged after a late one.
 	lastTick     time.Time
@@ -73,10 +77,14 @@
 	monitor     bool
 }
 
-// Unheard reports whether a gateway whose reports count does not hear this one, although
-// this one hears it. Others may then have taken over what this gateway does. A gateway
-// that has just been heard for the first time may not have heard all others yet.
+// Unheard reports whether others may have taken over what this gateway does: a gateway
+// whose reports count does not hear this one, although this one hears it, or this one has
+// lost the monitors and does not hear those that would replace them. A gateway that has
+// just been heard for the first time may not have heard all others yet.
 func (d *Detector) Unheard(now time.Time) bool {
+	if d.cutOff {
+		return true
+	}
 	for id, r := range d.reports {
 		if r.monitor && r.unreachable[d.self.ID] && d.heardRecently(now, id) && now.Sub(d.firstHeard[id]) > settleTime {
 			return true
@@ -179,7 +187,7 @@
 		}
 	}
 	if monitorHeard {
-		d.monitorHeard = now
+		d.monitorHeard, d.monitorKnown = now, true
 	}
 	stalled, monitorsLost := d.Stalled(now), !monitorHeard && now.Sub(d.monitorHeard) <= monitorLossPeriod
 	for id := range d.alive {
@@ -190,9 +198,24 @@
 	}
 	d.alive = alive
 	d.selectMonitors(now)
+	d.cutOff = d.monitorKnown && !monitorHeard && !d.hearsMonitors(now)
 	return alive
 }
 
+// hearsMonitors reports whether more than half of the selected monitors, this gateway
+// included, were heard from recently. If those whose reports count are lost, the new ones
+// send heartbeats to all gateways at once; a gateway that is cut off hears none, although
+// it takes the gateways that it last knew for alive.
+func (d *Detector) hearsMonitors(now time.Time) bool {
+	heard := 0
+	for id := range d.monitors {
+		if id == d.self.ID || d.heardRecently(now, id) {
+			heard++
+		}
+	}
+	return 2*heard > len(d.monitors)
+}
+
 // forgetUnlisted drops what is known of gateways that are not listed and not heard. One
 // that is heard may be listed again.
 func (d *Detector) forgetUnlisted(now time.Time) {
