A single gateway that does not hear a cold upstream's sender does not stop it

A cold upstream got no requests for as long as one gateway did not hear its sender, which that gateway reports. Cause: any one report made the sender give its right up, while all gateways, the one that reports included, still ranked it first: they learn from the others that it is alive. Nobody took over. Change: Detector.Unheard needs two such gateways, or one and none that hears.

--- a/pkg/oriole/orioleliveness/detector.go
+++ b/pkg/oriole/orioleliveness/detector.go
@@ -77,20 +77,27 @@
 	monitor     bool
 }
 
-// Unheard reports whether others may have taken over what this gateway does: a gateway
-// whose reports count does not hear this one, although this one hears it, or this one has
-// lost the monitors and does not hear those that would replace them. A gateway that has
-// just been heard for the first time may not have heard all others yet.
+// Unheard reports whether others may have taken over what this gateway does: gateways whose
+// reports count don't hear this one, although this one hears them, or this one has lost the
+// monitors and does not hear those that would replace them. A single one that does not hear
+// it learns from any other that it is alive. A gateway that has just been heard for the first
+// time may not have heard all others yet.
 func (d *Detector) Unheard(now time.Time) bool {
 	if d.cutOff {
 		return true
 	}
+	hearing, deaf := 0, 0
 	for id, r := range d.reports {
-		if r.monitor && r.unreachable[d.self.ID] && d.heardRecently(now, id) && now.Sub(d.firstHeard[id]) > settleTime {
-			return true
+		if !r.monitor || !d.heardRecently(now, id) || now.Sub(d.firstHeard[id]) <= settleTime {
+			continue
+		}
+		if r.unreachable[d.self.ID] {
+			deaf++
+		} else {
+			hearing++
 		}
 	}
-	return false
+	return deaf > 1 || (deaf == 1 && hearing == 0)
 }
 
 // FullMesh reports whether all of n gateways exchange heartbeats with each other.
--- a/pkg/oriole/oriolequorum/isolated_test.go
+++ b/pkg/oriole/oriolequorum/isolated_test.go
@@ -192,3 +192,24 @@
 	is.True(unused <= 2*time.Second)
 	is.Equal(len(c.holders()), 1)
 }
+
+// TestOneDeafGatewayEndsNoTenure guards against cold upstreams that get no requests for as
+// long as a single gateway does not hear their sender: it learns from the others that the
+// sender is alive, so that nobody else takes over.
+func TestOneDeafGatewayEndsNoTenure(t *testing.T) {
+	for _, n := range []int{3, 4, 5, 11, 16, 40} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			for i := range min(n, 11) {
+				c := newSettledCluster(n, 4)
+				c.run(6*time.Second, nil)
+				sender, deaf := c.first(), oriole.GatewayID(fmt.Sprintf("vm-%d.a", i))
+				if deaf == sender {
+					continue
+				}
+				c.blocked = func(from, to oriole.GatewayID) bool { return from == sender && to == deaf }
+				c.run(4*time.Second, func() { is.Equal(c.holders(), []oriole.GatewayID{sender}) })
+			}
+		})
+	}
+}
