A pool duty that restarts has no burst left for cold upstreams

A pool duty that fails again and again could send a cold upstream more than it bears. Cause: a restart of the duty forgets the token buckets, and the right of the gateway is as old as before, so that each new bucket begins with two tokens. Change: the rights that the monitor gives after a restart of the duty begin with it. What a run begins with moves to poolDuty.reset, which the tests' harness uses too.

--- a/internal/oriolerouter/orioledispatcher/cold_test.go
+++ b/internal/oriolerouter/orioledispatcher/cold_test.go
@@ -13,7 +13,6 @@
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolecrash"
-	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleidempotency"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleplacement"
 )
 
@@ -131,10 +130,7 @@
 		CloseIdleConns:    func(func(oriole.Incarnation) bool) {},
 	}, suture.Spec{EventHook: func(suture.Event) {}})
 	g.duty = newPoolDuty(g.disp)
-	g.duty.pools = make(map[oriole.PoolID]*poolState)
-	g.duty.unanswered = make(map[*pendingRequest]bool)
-	g.duty.crashes = oriolecrash.New()
-	g.duty.idempotency = orioleidempotency.New()
+	g.duty.reset(c.clock.now)
 	g.duty.updatePools(context.Background(), c.clock.now)
 }
 
--- a/internal/oriolerouter/orioledispatcher/duty.go
+++ b/internal/oriolerouter/orioledispatcher/duty.go
@@ -68,14 +68,7 @@
 // Serve implements suture.Service.
 func (d *poolDuty) Serve(ctx context.Context) error {
 	disp := d.dispatcher
-	// A restart loses the pending requests, and the records of crashes and
-	// idempotency keys. nextJob is kept, so that results of requests sent before
-	// match no new job.
-	d.failUnanswered()
-	d.pools = make(map[oriole.PoolID]*poolState)
-	d.crashes = oriolecrash.New()
-	d.idempotency = orioleidempotency.New()
-	d.duplicates = make(map[orioleidempotency.JobID]*pendingRequest)
+	d.reset(disp.cfg.Timers.Now())
 	changed := disp.cfg.State.Subscribe()
 	ticks, stop := disp.cfg.Timers.Subscribe(tickInterval)
 	defer stop()
@@ -97,6 +90,18 @@
 	}
 }
 
+// reset begins a run of the duty. A restart loses the pending requests, and the records of
+// crashes and idempotency keys. nextJob is kept, so that results of requests sent before
+// match no new job.
+func (d *poolDuty) reset(now time.Time) {
+	d.failUnanswered()
+	d.pools = make(map[oriole.PoolID]*poolState)
+	d.crashes = oriolecrash.New()
+	d.idempotency = orioleidempotency.New()
+	d.duplicates = make(map[orioleidempotency.JobID]*pendingRequest)
+	d.quorum.ForgetPools(now)
+}
+
 func (d *poolDuty) handle(ctx context.Context, now time.Time, e event) {
 	d.observe(ctx)
 	switch {
--- a/pkg/oriole/oriolequorum/quorum.go
+++ b/pkg/oriole/oriolequorum/quorum.go
@@ -41,7 +41,7 @@
 	majority      bool
 	majoritySince time.Time
 	resumedAt     time.Time
-	// membersSince is when the list of live gateways last changed.
+	// membersSince is when the list of live gateways last changed, or the pools were forgotten.
 	membersSince time.Time
 }
 
@@ -73,6 +73,10 @@
 	}
 }
 
+// ForgetPools must be called when what was sent to the pools is no longer known. The rights
+// to those that this gateway may send to begin anew, so that their rate limits do too.
+func (m *Monitor) ForgetPools(now time.Time) { m.membersSince = now }
+
 // Tenure is the right of a gateway to send to the rate-limited upstreams of a pool.
 type Tenure struct {
 	// First is set if this gateway ranks first among the pool's dispatchers. Only then it
