--- a/internal/oriolerouter/oriolelink/heartbeat.go
+++ b/internal/oriolerouter/oriolelink/heartbeat.go
@@ -58,8 +58,8 @@
 	return !reflect.DeepEqual(last, next)
 }
 
-// tick updates the set of live gateways and returns it with whether another one does not
-// hear this gateway, and the heartbeat to send.
+// tick updates the set of live gateways and returns it with whether others may take this
+// gateway for lost, and the heartbeat to send.
 func (p *Links) tick(now time.Time) (alive map[oriole.GatewayID]bool, unheard bool, heartbeat *oriolemessage.Heartbeat) {
 	heartbeat = p.cfg.Receiver.Heartbeat()
 	p.mu.Lock()
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -48,8 +48,8 @@
 	HandleFrame(ctx context.Context, from oriole.GatewayID, frame *oriolemessage.Frame)
 	// HandlePeer is called when a gateway has opened a link.
 	HandlePeer(ctx context.Context, m oriole.Member)
-	// HandleLiveness is called when the set of live gateways has changed, or whether one
-	// of them does not hear this gateway.
+	// HandleLiveness is called when the set of live gateways has changed, or whether they
+	// may take this gateway for lost.
 	HandleLiveness(ctx context.Context, alive map[oriole.GatewayID]bool, unheard bool)
 	// Heartbeat returns this gateway's part of the heartbeat sent to peers.
 	Heartbeat() *oriolemessage.Heartbeat
--- a/internal/oriolerouter/oriolelog/message.go
+++ b/internal/oriolerouter/oriolelog/message.go
@@ -67,7 +67,7 @@
 	MessageDirectoryRestored = "directory restored"
 	MessagePeerHeard         = "peer heard"
 	MessagePeerLost          = "peer lost"
-	// MessageUnheard says that a peer does not hear this gateway, or that all do again.
+	// MessageUnheard says that peers may take this gateway for lost, or no longer do.
 	MessageUnheard = "unheard by a peer"
 	// MessageAccountantChanged says that another gateway keeps a workspace's rate limit.
 	MessageAccountantChanged = "accountant changed"
--- a/internal/oriolerouter/oriolestate/tracker.go
+++ b/internal/oriolerouter/oriolestate/tracker.go
@@ -325,8 +325,8 @@
 	}
 }
 
-// SetAlive queues a new set of live gateways, and whether one of them does not hear this
-// gateway.
+// SetAlive queues a new set of live gateways, and whether they may take this gateway for
+// lost.
 func (t *Tracker) SetAlive(ctx context.Context, alive map[oriole.GatewayID]bool, unheard bool) {
 	_ = t.updates.Put(ctx, livenessUpdate{alive, unheard})
 }
--- a/pkg/oriole/clusterstate.go
+++ b/pkg/oriole/clusterstate.go
@@ -50,7 +50,8 @@
 	// recently heard from, directly or through a peer, and this one.
 	Gateways map[GatewayID]Member
 	Alive    map[GatewayID]bool
-	// Unheard is set if another gateway that is alive does not hear this one.
+	// Unheard is set if others that are alive may take this gateway for lost: they don't hear
+	// it, or it has lost the monitors.
 	Unheard bool
 	// Assignments holds the newest known assignment of each sharded service,
 	// and AssignedAt when this gateway received it.
