Suspect upstreams need no sole sender

Cause: an upstream that broke a connection counts as cold for 1.5 s, so that a gateway without the right sends it nothing. It never sees that the next connection is refused, does not record the crash, and sends the request to the next upstream. The suspicion is known to one gateway only: others send to the upstream as to a warm one, so that the rule gained nothing. Change: only upstreams that are cold by their entries need the sole sender. Suspect ones have a token bucket of their own. Result: TestSuspectUpstreamNeedsNoSoleSender failed before.

--- a/pkg/oriole/oriolepool/pool.go
+++ b/pkg/oriole/oriolepool/pool.go
@@ -85,7 +85,8 @@
 	// elsewhere is set if other pools can run the requests.
 	elsewhere bool
 	// The pool is the only sender to its upstreams from soleSince on, or another gateway
-	// is if delegated is set. Only the sole sender sends to rate-limited upstreams.
+	// is if delegated is set. Only the sole sender sends to cold upstreams. Any sends to those
+	// that are only suspect: the others don't know of the suspicion.
 	soleSince time.Time
 	delegated bool
 	// shares orders requests of different workspaces.
@@ -118,7 +119,7 @@
 	}
 	p.delegated, p.soleSince = !first, since
 	for _, s := range p.servers {
-		s.tokens, s.refilledAt = 0, since
+		s.cold = bucket{refilledAt: since}
 	}
 }
 
@@ -249,25 +250,25 @@
 }
 
 // delegatedToOther reports whether only another gateway may send to the upstreams: all of
-// them are rate-limited, and this pool is not their only sender.
+// them are cold, and this pool is not their only sender.
 func (p *Pool) delegatedToOther(now time.Time) bool {
-	return p.delegated && len(p.servers) > 0 && !slices.ContainsFunc(p.servers, func(s *server) bool { return !s.rateLimited(now) })
+	return p.delegated && len(p.servers) > 0 && !slices.ContainsFunc(p.servers, func(s *server) bool { return !s.isCold(now) })
 }
 
 // maySend reports whether the pool may send to the upstream, apart from pauses and rates.
 func (p *Pool) maySend(now time.Time, s *server) bool {
-	return !s.rateLimited(now) || (!p.delegated && !now.Before(p.soleSince))
+	return !s.isCold(now) || (!p.delegated && !now.Before(p.soleSince))
 }
 
 // pausedUntil returns until when the upstream gets no requests, because it has asked for a
-// pause, or is rate-limited and this pool is not its only sender. It returns the zero time
+// pause, or is cold and this pool is not its only sender. It returns the zero time
 // if there is no such reason.
 func (p *Pool) pausedUntil(now time.Time, s *server) time.Time {
 	until := p.pauses.Until(now, s.upstream.Incarnation())
 	if p.maySend(now, s) {
 		return until
 	}
-	held := s.limitedUntil()
+	held := s.upstream.ColdUntil
 	if !p.delegated && p.soleSince.Before(held) {
 		held = p.soleSince
 	}
@@ -494,7 +495,7 @@
 	p.running[j.id] = j
 	p.shares.start(j.request.Workspace)
 	p.effects = append(p.effects, Effect{Start: &Start{
-		Job: j.id, To: s.upstream, Request: j.request, Probe: probe, RateLimited: s.rateLimited(now), Tokens: s.tokens,
+		Job: j.id, To: s.upstream, Request: j.request, Probe: probe, RateLimited: s.rateLimited(now), Tokens: s.bucket(now).tokens,
 	}})
 }
 
--- a/pkg/oriole/oriolepool/server.go
+++ b/pkg/oriole/oriolepool/server.go
@@ -55,29 +55,39 @@
 	// reachAt on.
 	unreachable bool
 	reachAt     time.Time
-	// tokens is the token bucket of a rate-limited upstream, in requests;
-	// refilledAt is when it was last refilled, or the future time from which it fills.
+	// cold is the token bucket for the time in which the upstream is cold, suspect that for
+	// the time in which it is only suspect. Only the sole sender uses the first one.
+	cold    bucket
+	suspect bucket
+}
+
+// bucket is a token bucket, in requests. refilledAt is when it was last refilled, or the
+// future time from which it fills.
+type bucket struct {
 	tokens     float64
 	refilledAt time.Time
 }
 
-// newServer returns the state of an upstream. Its bucket has filled since the pool has
-// been its only sender.
+// newServer returns the state of an upstream. Its bucket for coldness has filled since the
+// pool has been its only sender.
 func newServer(u oriole.Upstream, soleSince time.Time) *server {
-	return &server{upstream: u, meanDuration: initialDuration, refilledAt: soleSince}
+	return &server{upstream: u, meanDuration: initialDuration, cold: bucket{refilledAt: soleSince}}
 }
 
 // rateLimited reports whether the upstream is rate-limited: cold or suspect.
 func (s *server) rateLimited(now time.Time) bool {
-	return now.Before(s.upstream.ColdUntil) || now.Before(s.suspectUntil)
+	return s.isCold(now) || now.Before(s.suspectUntil)
 }
 
-// limitedUntil returns until when the upstream is rate-limited.
-func (s *server) limitedUntil() time.Time {
-	if s.suspectUntil.After(s.upstream.ColdUntil) {
-		return s.suspectUntil
+// isCold reports whether the upstream is cold by its entry.
+func (s *server) isCold(now time.Time) bool { return now.Before(s.upstream.ColdUntil) }
+
+// bucket returns the token bucket of a rate-limited upstream.
+func (s *server) bucket(now time.Time) *bucket {
+	if s.isCold(now) {
+		return &s.cold
 	}
-	return s.upstream.ColdUntil
+	return &s.suspect
 }
 
 // canStart reports whether the upstream may get a request now.
@@ -91,27 +101,28 @@
 	if !s.rateLimited(now) {
 		return true
 	}
-	s.refillTokens(now, service)
-	return s.tokens >= 1
-}
-
-func (s *server) refillTokens(now time.Time, service oriole.Service) {
 	rate := service.ColdRate
 	if rate <= 0 {
 		rate = suspectRate
 	}
-	if now.Before(s.refilledAt) {
+	b := s.bucket(now)
+	b.refill(now, rate)
+	return b.tokens >= 1
+}
+
+func (b *bucket) refill(now time.Time, rate float64) {
+	if now.Before(b.refilledAt) {
 		return
 	}
-	s.tokens = min(s.tokens+now.Sub(s.refilledAt).Seconds()*rate, coldBurst)
-	s.refilledAt = now
+	b.tokens = min(b.tokens+now.Sub(b.refilledAt).Seconds()*rate, coldBurst)
+	b.refilledAt = now
 }
 
 // start occupies a slot, and a token if the upstream is rate-limited.
 func (s *server) start(now time.Time) {
 	s.running++
 	if s.rateLimited(now) {
-		s.tokens--
+		s.bucket(now).tokens--
 	}
 }
 
--- a/pkg/oriole/oriolepool/sole_test.go
+++ b/pkg/oriole/oriolepool/sole_test.go
@@ -80,3 +80,28 @@
 	is.Equal(h.started, map[oriolepool.JobID]oriole.ServerID{0: "b", 1: "b"})
 	is.Equal(h.QueueLen(), 1)
 }
+
+// TestSuspectUpstreamNeedsNoSoleSender guards against a gateway that sends nothing to an
+// upstream which broke a connection, and so never learns whether it has ended.
+func TestSuspectUpstreamNeedsNoSoleSender(t *testing.T) {
+	for name, first := range map[string]bool{"another gateway is the sole sender": false, "the right has not begun": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(server("a"))
+			h.SetSoleSender(first, atMs(60_000))
+			h.arrive(0, 0, 0, time.Second)
+			h.Finish(atMs(10), 0, oriole.UnknownResponse(oriole.ReasonConnection))
+			h.collect()
+			for id := oriolepool.JobID(1); id <= 10; id++ {
+				h.arrive(20, id, 0, 3*time.Second)
+			}
+			is.Equal(h.startOrder, []oriolepool.JobID{0, 1, 2})
+			h.done(30, 1)
+			h.done(30, 2)
+			is.Equal(len(h.startOrder), 3)
+			h.Tick(atMs(520))
+			h.collect()
+			is.Equal(len(h.startOrder), 5)
+		})
+	}
+}
--- a/pkg/oriole/oriolequorum/quorum.go
+++ b/pkg/oriole/oriolequorum/quorum.go
@@ -77,7 +77,7 @@
 // to those that this gateway may send to begin anew, so that their rate limits do too.
 func (m *Monitor) ForgetPools(now time.Time) { m.membersSince = now }
 
-// Tenure is the right of a gateway to send to the rate-limited upstreams of a pool.
+// Tenure is the right of a gateway to send to the cold upstreams of a pool.
 type Tenure struct {
 	// First is set if this gateway ranks first among the pool's dispatchers. Only then it
 	// may send, from Since on, which may be in the future.
