--- a/internal/oriolerouter/orioledispatcher/duty.go
+++ b/internal/oriolerouter/orioledispatcher/duty.go
@@ -68,14 +68,7 @@
 // Serve implements suture.Service.
 func (d *poolDuty) Serve(ctx context.Context) error {
 	disp := d.dispatcher
-	// A restart loses the pending requests, and the records of crashes and
-	// idempotency keys. nextJob is kept, so that results of requests sent before
-	// match no new job.
-	d.failUnanswered()
-	d.pools = make(map[oriole.PoolID]*poolState)
-	d.crashes = oriolecrash.New()
-	d.idempotency = orioleidempotency.New()
-	d.duplicates = make(map[orioleidempotency.JobID]*pendingRequest)
+	d.reset(disp.cfg.Timers.Now())
 	changed := disp.cfg.State.Subscribe()
 	ticks, stop := disp.cfg.Timers.Subscribe(tickInterval)
 	defer stop()
@@ -97,8 +90,20 @@
 	}
 }
 
+// reset begins a run of the duty. A restart loses the pending requests, and the records of
+// crashes and idempotency keys. nextJob is kept, so that results of requests sent before
+// match no new job.
+func (d *poolDuty) reset(now time.Time) {
+	d.failUnanswered()
+	d.pools = make(map[oriole.PoolID]*poolState)
+	d.crashes = oriolecrash.New()
+	d.idempotency = orioleidempotency.New()
+	d.duplicates = make(map[orioleidempotency.JobID]*pendingRequest)
+	d.quorum.ForgetPools(now)
+}
+
 func (d *poolDuty) handle(ctx context.Context, now time.Time, e event) {
-	d.observe(ctx, now)
+	d.observe(ctx)
 	switch {
 	case e.submit != nil:
 		d.submit(ctx, now, e.submit)
@@ -184,6 +189,7 @@
 // updatePools applies a change of the cluster state to the pools, the crash
 // detector and the idle connections.
 func (d *poolDuty) updatePools(ctx context.Context, now time.Time) {
+	d.observe(ctx)
 	d.quorum.Update(now, d.dispatcher.cfg.State.Snapshot())
 	for id, p := range d.pools {
 		d.updatePool(now, id, p)
@@ -299,7 +305,7 @@
 	if d.reportDue {
 		d.reportDurations(ctx)
 	}
-	d.observe(ctx, now)
+	d.observe(ctx)
 	d.withdrawCrashes(now)
 	d.reportCold(now)
 	for id, p := range d.pools {
