An invalid status of an upstream ends the call at once

net/http reads any three digits as a status, and signs: 000 to 099, 600 to 999, +00 to +99 and -00. A status below 200 was skipped like an interim response, so that the request waited for another response until its deadline, and from 600 up a response was passed on, or taken for a statement that the request has not run. The header counted (leaving, pause, limit), and the connection was kept after a status from 600 up. Lease calls read responses in the same way.

A status other than 1xx and 200 to 599 is ErrBadResponse now: the outcome is unknown (bad-answer, 502), the header and body are not looked at, and the connection is closed.

--- a/internal/orioletrace/trace.go
+++ b/internal/orioletrace/trace.go
@@ -148,7 +148,7 @@
 	case oriole.ReasonShed.String():
 		return "upstream " + upstreamOf(end) + " rejected the request because it was at capacity; the request has not run"
 	case oriole.ReasonBadResponse.String():
-		return "upstream " + upstreamOf(end) + " sent a response that is incomplete or belongs to another request"
+		return "upstream " + upstreamOf(end) + " sent a response that is incomplete, not valid HTTP, or belongs to another request"
 	case oriole.ReasonCrash.String():
 		return "requests with the same content have crashed three upstreams; the request was rejected and has not run"
 	case oriole.ReasonDraining.String():
--- a/internal/orioleupstream/client.go
+++ b/internal/orioleupstream/client.go
@@ -33,6 +33,9 @@
 // same connection.
 var ErrAmbiguous = errors.New("response may belong to an earlier request")
 
+// ErrBadResponse is returned if what the upstream sent is no HTTP response to the request.
+var ErrBadResponse = errors.New("not a valid HTTP response")
+
 // Response is a complete response of an upstream.
 type Response struct {
 	// Conn identifies the connection that the response was received on.
--- a/internal/orioleupstream/conn.go
+++ b/internal/orioleupstream/conn.go
@@ -285,6 +285,11 @@
 			return nil, false, err
 		}
 		c.head.remaining = -1
+		interim := resp.StatusCode >= 100 && resp.StatusCode < 200
+		if !interim && !oriole.FinalStatus(resp.StatusCode) {
+			// net/http accepts three digits of any value, and signs such as in +20.
+			return nil, false, errors.Wrapf(ErrBadResponse, "status %q", resp.Status)
+		}
 		if call.Head != nil {
 			call.Head(resp)
 		}
@@ -292,7 +297,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if resp.StatusCode < 200 {
+		if interim {
 			continue
 		}
 		if !call.MatchesRequest(resp) {
--- a/internal/orioleupstream/read_test.go
+++ b/internal/orioleupstream/read_test.go
@@ -158,3 +158,24 @@
 		})
 	}
 }
+
+// TestOnlyValidStatusesAreRead guards against a status that net/http accepts and HTTP does
+// not define, such as 000, +20 and 999.
+func TestOnlyValidStatusesAreRead(t *testing.T) {
+	const alphabet = "0123456789+-_xX. "
+	for _, a := range alphabet {
+		for _, b := range alphabet {
+			for _, c := range alphabet {
+				status := string([]rune{a, b, c})
+				data := "HTTP/1.1 " + status + " OK\r\nId: 7\r\nContent-Length: 0\r\n\r\n"
+				resp, _, err := readResponse(http.MethodGet, []byte(data), os.ErrDeadlineExceeded, false)
+				digits := b >= '0' && b <= '9' && c >= '0' && c <= '9'
+				final, interim := digits && a >= '2' && a <= '5', digits && a == '1'
+				// After an interim response the next one is awaited.
+				if (err == nil) != final || errors.Is(err, os.ErrDeadlineExceeded) != interim {
+					t.Errorf("status %q: response %v, error %v", status, resp, err)
+				}
+			}
+		}
+	}
+}
--- a/pkg/oriole/request.go
+++ b/pkg/oriole/request.go
@@ -99,6 +99,9 @@
 	return reasonNames[r]
 }
 
+// FinalStatus reports whether the status is that of a final HTTP response, from 200 to 599.
+func FinalStatus(status int) bool { return status >= 200 && status <= 599 }
+
 // Request is a caller's request, independent of the front end that received it.
 type Request struct {
 	ID      string
