Responses outside of HTTP/1 end the call at once

A 101 response to a request that asks for no upgrade was skipped like an interim response: its request waited until the deadline, or took what followed for its response although the connection carried another protocol by then. Responses of another major version than HTTP/1, and those after an interim response that announces a body, were accepted, although it is open where such a message ends. Each is ErrBadResponse now, with an unknown outcome, and the connection is closed. Several spaces in a status line, a missing reason and a later minor version are accepted as before.

TestUnusualStatusLineIsAccepted passed before and passes now.

--- a/internal/orioleupstream/conn.go
+++ b/internal/orioleupstream/conn.go
@@ -285,10 +285,8 @@
 			return nil, false, err
 		}
 		c.head.remaining = -1
-		interim := resp.StatusCode >= 100 && resp.StatusCode < 200
-		if !interim && !oriole.FinalStatus(resp.StatusCode) {
-			// net/http accepts three digits of any value, and signs such as in +20.
-			return nil, false, errors.Wrapf(ErrBadResponse, "status %q", resp.Status)
+		if err := validate(resp); err != nil {
+			return nil, false, err
 		}
 		if call.Head != nil {
 			call.Head(resp)
@@ -297,7 +295,7 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if interim {
+		if interim(resp) {
 			continue
 		}
 		if !call.MatchesRequest(resp) {
@@ -312,3 +310,32 @@
 	}
 	return nil, false, errors.New("no response matches the request")
 }
+
+// validate returns [ErrBadResponse] if net/http has accepted a response that HTTP/1 does
+// not allow for a request without an upgrade.
+func validate(resp *http.Response) error {
+	switch {
+	case resp.ProtoMajor != 1:
+		return errors.Wrapf(ErrBadResponse, "protocol %s", resp.Proto)
+	case !interim(resp) && !oriole.FinalStatus(resp.StatusCode):
+		// net/http accepts three digits of any value, and signs such as in +20.
+		return errors.Wrapf(ErrBadResponse, "status %q", resp.Status)
+	case interim(resp) && claimsBody(resp):
+		// Upstream and gateway disagree on where the next response begins.
+		return errors.Wrapf(ErrBadResponse, "status %q with a body", resp.Status)
+	}
+	return nil
+}
+
+// interim reports whether another response follows. After status 101 the connection
+// carries another protocol.
+func interim(resp *http.Response) bool {
+	return resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols
+}
+
+// claimsBody reports whether the header announces a body, also where the status allows
+// none.
+func claimsBody(resp *http.Response) bool {
+	length := resp.Header.Get("Content-Length")
+	return len(resp.TransferEncoding) > 0 || (length != "" && length != "0")
+}
--- a/internal/orioleupstream/status_test.go
+++ b/internal/orioleupstream/status_test.go
@@ -65,3 +65,42 @@
 	is.Equal(resp.Reason, oriole.ReasonBadResponse)
 	is.Equal(resp.Leaving, to.Incarnation())
 }
+
+// TestResponseOutsideOfProtocolEndsRequestAtOnce guards against waiting for a response, or
+// accepting one, after bytes that leave open where it begins.
+func TestResponseOutsideOfProtocolEndsRequestAtOnce(t *testing.T) {
+	const upgrade = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\nServer-Leaving: 1\r\n\r\n"
+	for name, respond := range map[string]func(id string) string{
+		"upgrade":                        func(string) string { return upgrade },
+		"upgrade and response":           func(id string) string { return upgrade + okResponse(id) },
+		"protocol of major version 2":    func(id string) string { return leaving(withStatusLine("HTTP/2.0 200 OK", okResponse(id))) },
+		"protocol of major version 0":    func(id string) string { return leaving(withStatusLine("HTTP/0.9 200 OK", okResponse(id))) },
+		"interim response with a length": func(id string) string { return "HTTP/1.1 103 Hints\r\nContent-Length: 5\r\n\r\n" + okResponse(id) },
+		"interim response with chunks": func(id string) string {
+			return "HTTP/1.1 103 Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + okResponse(id)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			to, conns := countingUpstream(t, respond)
+			sender := newSender(t)
+			for _, id := range []string{"1", "2"} {
+				want := oriole.UnknownResponse(oriole.ReasonBadResponse)
+				want.Server = to.ID
+				is.Equal(sender.Send(context.Background(), to, request(id)), want)
+			}
+			is.Equal(conns.Load(), int64(2)) // the connection is not used again
+		})
+	}
+}
+
+// TestUnusualStatusLineIsAccepted guards against refusing responses that HTTP/1 allows.
+func TestUnusualStatusLineIsAccepted(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1   200 OK", "HTTP/1.1 200", "HTTP/1.0 200 OK", "HTTP/1.2 200 OK", "HTTP/1.1 299 Unnamed", "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK"} {
+		t.Run(line, func(t *testing.T) {
+			is := is.New(t)
+			to, _ := countingUpstream(t, func(id string) string { return withStatusLine(line, okResponse(id)) })
+			is.Equal(newSender(t).Send(context.Background(), to, request("1")).Outcome, oriole.OutcomeAnswered)
+		})
+	}
+}
