A malformed response is no lost connection

A response that net/http refuses (a status of other than three characters, a malformed header or chunk), a header over its limit, and three responses none of which is the awaited one had the reason of a lost connection. The dispatcher suspects a request that loses its connection of having crashed the upstream, and sends the upstream fewer requests for a time, although the connection had not failed.

The connection records whether it has failed. If not, the error is ErrBadResponse, which also covers what had the reason before: an ambiguous response, and one that is too large or over the bound on memory.

--- a/internal/orioleupstream/client.go
+++ b/internal/orioleupstream/client.go
@@ -33,8 +33,9 @@
 // same connection.
 var ErrAmbiguous = errors.New("response may belong to an earlier request")
 
-// ErrBadResponse is returned if what the upstream sent is no HTTP response to the request.
-var ErrBadResponse = errors.New("not a valid HTTP response")
+// ErrBadResponse is returned, with its cause, if the response can't be used although the
+// connection has not failed.
+var ErrBadResponse = errors.New("bad response")
 
 // Response is a complete response of an upstream.
 type Response struct {
--- a/internal/orioleupstream/conn.go
+++ b/internal/orioleupstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -83,6 +84,8 @@
 	// remaining is the number of bytes that the head may still take, or below 0
 	// if no head is being read.
 	remaining int
+	// failed is set once the connection has returned an error, also its end.
+	failed bool
 }
 
 // errHeadTooLarge is returned if the head of a response exceeds maxHeadBytes.
@@ -90,14 +93,17 @@
 
 // Read implements io.Reader.
 func (r *headLimiter) Read(data []byte) (n int, err error) {
-	if r.remaining < 0 {
-		return r.conn.Read(data)
-	}
 	if r.remaining == 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err = r.conn.Read(data[:min(len(data), r.remaining)])
-	r.remaining -= n
+	if r.remaining > 0 {
+		data = data[:min(len(data), r.remaining)]
+	}
+	n, err = r.conn.Read(data)
+	r.failed = err != nil
+	if r.remaining > 0 {
+		r.remaining -= n
+	}
 	return n, err
 }
 
@@ -225,6 +231,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	c.tracker.started.Store(false)
+	c.head.failed = false
 	req, hasPast := call.Request, c.used
 	written := make(chan error, 1)
 	if req.ContentLength <= bufferSize {
@@ -235,6 +242,9 @@
 		go func() { written <- c.write(req) }()
 	}
 	resp, reusable, err = c.read(call, hold)
+	if err != nil && !c.head.failed {
+		err = fmt.Errorf("%w: %w", ErrBadResponse, err)
+	}
 	if err != nil {
 		return nil, false, err
 	}
@@ -295,6 +305,8 @@
 		if err != nil {
 			return nil, false, err
 		}
+		// The end of the connection may be that of the body.
+		c.head.failed = false
 		if interim(resp) {
 			continue
 		}
@@ -311,18 +323,18 @@
 	return nil, false, errors.New("no response matches the request")
 }
 
-// validate returns [ErrBadResponse] if net/http has accepted a response that HTTP/1 does
-// not allow for a request without an upgrade.
+// validate returns an error if net/http has accepted a response that HTTP/1 does not allow
+// for a request without an upgrade.
 func validate(resp *http.Response) error {
 	switch {
 	case resp.ProtoMajor != 1:
-		return errors.Wrapf(ErrBadResponse, "protocol %s", resp.Proto)
+		return errors.Errorf("protocol %s", resp.Proto)
 	case !interim(resp) && !oriole.FinalStatus(resp.StatusCode):
 		// net/http accepts three digits of any value, and signs such as in +20.
-		return errors.Wrapf(ErrBadResponse, "status %q", resp.Status)
+		return errors.Errorf("status %q", resp.Status)
 	case interim(resp) && claimsBody(resp):
 		// Upstream and gateway disagree on where the next response begins.
-		return errors.Wrapf(ErrBadResponse, "status %q with a body", resp.Status)
+		return errors.Errorf("status %q with a body", resp.Status)
 	}
 	return nil
 }
--- a/internal/orioleupstream/sender.go
+++ b/internal/orioleupstream/sender.go
@@ -11,7 +11,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
-	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
 )
 
 // Sender implements [oriole.Sender] with a client and a dialect, which translates
@@ -102,7 +101,7 @@
 	case errors.Is(err, oriole.ErrNotSent):
 		response = oriole.NotRunResponse(oriole.ReasonConnection)
 		response.Refused = errors.Is(err, oriole.ErrConnRefused)
-	case errors.Is(err, ErrBadResponse), errors.Is(err, ErrAmbiguous), errors.Is(err, ErrBodyTooLarge), errors.Is(err, oriolememory.ErrFull):
+	case errors.Is(err, ErrBadResponse):
 		response.Reason = oriole.ReasonBadResponse
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		response.Reason = oriole.ReasonDeadline
--- a/internal/orioleupstream/status_test.go
+++ b/internal/orioleupstream/status_test.go
@@ -104,3 +104,45 @@
 		})
 	}
 }
+
+// TestMalformedResponseIsNoLostConnection guards against suspecting a request of crashing an
+// upstream that has sent something else than its response, and lives.
+func TestMalformedResponseIsNoLostConnection(t *testing.T) {
+	const bad, lost = oriole.ReasonBadResponse, oriole.ReasonConnection
+	head := func(id string) string {
+		return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Signature: s\r\n"
+	}
+	for _, test := range []struct {
+		name    string
+		respond func(id string) string
+		want    oriole.Reason
+	}{
+		{"not HTTP", func(string) string { return "220 mail.example ready\r\n\r\n" }, bad},
+		{"status of 2 digits", func(id string) string { return withStatusLine("HTTP/1.1 20 OK", okResponse(id)) }, bad},
+		{"status of 4 digits", func(id string) string { return withStatusLine("HTTP/1.1 2000 OK", okResponse(id)) }, bad},
+		{"negative status", func(id string) string { return withStatusLine("HTTP/1.1 -20 OK", okResponse(id)) }, bad},
+		{"status of letters", func(id string) string { return withStatusLine("HTTP/1.1 abc OK", okResponse(id)) }, bad},
+		{"header without a colon", func(id string) string { return head(id) + "A\r\n\r\n" }, bad},
+		{"header too large", func(id string) string { return head(id) + strings.Repeat("A: b\r\n", 20000) + "\r\n" }, bad},
+		{"invalid length", func(id string) string { return head(id) + "Content-Length: x\r\n\r\n" }, bad},
+		{"unknown encoding", func(id string) string { return head(id) + "Transfer-Encoding: x\r\n\r\n" }, bad},
+		{"invalid chunk", func(id string) string { return head(id) + "Transfer-Encoding: chunked\r\n\r\nx\r\n" }, bad},
+		{"interim responses only", func(string) string { return strings.Repeat("HTTP/1.1 103 Hints\r\n\r\n", 3) }, bad},
+		{"responses to other requests", func(string) string { return okResponse("x") + okResponse("y") + okResponse("z") }, bad},
+		{"response without an ID up to the end", func(string) string { return okResponse("x") + "HTTP/1.1 200 OK\r\n\r\nUnframed" }, bad},
+		{"no response", func(string) string { return "" }, lost},
+		{"response to another request up to the end", func(string) string { return "HTTP/1.1 200 OK\r\nX-Attempt-Id: x\r\n\r\nUnframed" }, lost},
+		{"status line cut off", func(string) string { return "HTTP/1.1 2 Unframed" }, lost},
+		{"header cut off", func(id string) string { return head(id) + "Unframed" }, lost},
+		{"body cut off", func(id string) string { return head(id) + "Content-Length: 50\r\n\r\nUnframed" }, lost},
+		{"chunk cut off", func(id string) string { return head(id) + "Transfer-Encoding: chunked\r\n\r\n20\r\nUnframed" }, lost},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			to, _ := countingUpstream(t, test.respond)
+			resp := newSender(t).Send(context.Background(), to, request("1"))
+			is.Equal(resp.Outcome, oriole.OutcomeUnknown)
+			is.Equal(resp.Reason, test.want)
+		})
+	}
+}
