A connection is not kept after 204 with a body

A 204 response has no body, whatever its header says. The connection of one that announces a body was kept, and if the body came later, the next request on it took these bytes for the beginning of its response, and had an unknown outcome. Such a connection is closed. The response itself is complete.

--- a/internal/orioleupstream/conn.go
+++ b/internal/orioleupstream/conn.go
@@ -317,7 +317,12 @@
 		if !first && call.Unnamed != nil && call.Unnamed() {
 			return nil, false, ErrAmbiguous
 		}
-		reusable := !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0) && c.in.Buffered() == 0
+		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+		if resp.StatusCode == http.StatusNoContent && claimsBody(resp) {
+			// The body that the upstream may send is none to net/http.
+			framed = false
+		}
+		reusable := !resp.Close && framed && c.in.Buffered() == 0
 		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, reusable, nil
 	}
 	return nil, false, errors.New("no response matches the request")
--- a/internal/orioleupstream/status_test.go
+++ b/internal/orioleupstream/status_test.go
@@ -146,3 +146,24 @@
 		})
 	}
 }
+
+// TestBodyOfNoContentIsNotNextResponse guards against taking the late body of a response
+// that can't have one for the beginning of the response to the next request.
+func TestBodyOfNoContentIsNotNextResponse(t *testing.T) {
+	for _, field := range []string{"Content-Length: 5", "Transfer-Encoding: chunked"} {
+		t.Run(field, func(t *testing.T) {
+			is := is.New(t)
+			to := newUpstream(t, func(n int, id string) string {
+				late := ""
+				if n > 0 {
+					late = "hello"
+				}
+				return late + "HTTP/1.1 204 No Content\r\nX-Attempt-Id: " + id + "\r\nX-Response-Signature: s\r\n" + field + "\r\n\r\n"
+			})
+			sender := newSender(t)
+			for _, id := range []string{"1", "2", "3"} {
+				is.Equal(sender.Send(context.Background(), to, request(id)).Outcome, oriole.OutcomeAnswered)
+			}
+		})
+	}
+}
