Only a final status is accepted from a peer

A response frame was accepted with a status from 200 to 999, so that one from 600 up of an earlier build, which passes such a status of an upstream on, went to the caller. A frame that says "not run" could have any status and was believed; gateways of no build send one with a status.

Answered frames need a status from 200 to 599 now, others none; otherwise the outcome is unknown (bad-answer) at once. What is sent does not change: its statuses come from the upstream side, which checks them.

The statuses -1 to 199 and 1000 of an answered frame ended the wait at once before as well.

--- a/internal/oriolemessage/codec_test.go
+++ b/internal/oriolemessage/codec_test.go
@@ -111,6 +111,22 @@
 	is.Equal(gotResp, resp)
 }
 
+// TestInvalidStatusIsRejected guards against passing on a status of a peer that is none of
+// a final response, and against believing that a request with a status has not run.
+func TestInvalidStatusIsRejected(t *testing.T) {
+	is := is.New(t)
+	for status := -1; status <= 1000; status++ {
+		for _, outcome := range []oriole.Outcome{oriole.OutcomeUnknown, oriole.OutcomeAnswered, oriole.OutcomeNotRun} {
+			valid := status == 0
+			if outcome == oriole.OutcomeAnswered {
+				valid = status >= 200 && status <= 599
+			}
+			_, err := (&oriolemessage.Response{Outcome: int(outcome), Status: status}).ToResponse()
+			is.Equal(err == nil, valid)
+		}
+	}
+}
+
 // TestWorkspacesSurviveEncoding guards against gateways that disagree about a request's
 // workspace, and against frames that earlier builds reject although no configuration has
 // workspaces.
--- a/internal/oriolemessage/convert.go
+++ b/internal/oriolemessage/convert.go
@@ -115,7 +115,7 @@
 	if outcome < oriole.OutcomeUnknown || outcome > oriole.OutcomeNotRun {
 		return resp, errors.Wrap(ErrMalformed, "response: invalid outcome")
 	}
-	if outcome == oriole.OutcomeAnswered && (r.Status < 200 || r.Status > 999) {
+	if answered := outcome == oriole.OutcomeAnswered; answered && !oriole.FinalStatus(r.Status) || !answered && r.Status != 0 {
 		return resp, errors.Wrap(ErrMalformed, "response: invalid status")
 	}
 	return oriole.Response{
