A response frame that can't be read ends the wait of its request

A frame that can't be decoded was logged and dropped. If it was a response (a status that is a text, a fraction or over 64 bits, a header of another type, a field of a later build), its request was held until the deadline, although no other response would come.

The frame is decoded again for the number and ID of its request only. The request has an unknown outcome (bad-answer) at once, also if the frame says "not run". A frame that isn't well-formed CBOR names no request.

--- a/internal/oriolemessage/codec.go
+++ b/internal/oriolemessage/codec.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 )
 
 // MaxFrameSize is the maximum size of an encoded frame in bytes. It leaves room for
@@ -21,7 +23,13 @@
 
 var (
 	encoder = mustMode(cbor.EncOptions{Sort: cbor.SortNone}.EncMode())
-	decoder = mustMode(cbor.DecOptions{
+	decoder = mustMode(decOptions(cbor.ExtraDecErrorUnknownField).DecMode())
+	// skippingDecoder skips unknown fields.
+	skippingDecoder = mustMode(decOptions(cbor.ExtraDecErrorNone).DecMode())
+)
+
+func decOptions(extra cbor.ExtraDecErrorCond) cbor.DecOptions {
+	return cbor.DecOptions{
 		// Paths and header values of callers and upstreams need not be UTF-8. Byte
 		// strings are accepted for strings as well, so that a later version may
 		// send them while gateways are upgraded one by one.
@@ -30,12 +38,12 @@
 		DupMapKey:          cbor.DupMapKeyEnforcedAPF,
 		IndefLength:        cbor.IndefLengthForbidden,
 		TagsMd:             cbor.TagsForbidden,
-		ExtraReturnErrors:  cbor.ExtraDecErrorUnknownField,
+		ExtraReturnErrors:  extra,
 		MaxArrayElements:   maxArrayElements,
 		MaxMapPairs:        maxMapPairs,
 		MaxNestedLevels:    maxNestedLevels,
-	}.DecMode())
-)
+	}
+}
 
 // mustMode panics if the CBOR library rejects the options. They are constant, so
 // only a programming error can cause that.
@@ -67,3 +75,18 @@
 	err = decoder.Unmarshal(data, &v)
 	return v, err
 }
+
+// UnreadableResponse returns a response with an unknown outcome to the request that a
+// frame which Decode rejects responds to. found is false if the frame names none.
+func UnreadableResponse(data []byte) (r *Response, found bool) {
+	var frame struct {
+		Response *struct {
+			Number uint64 `json:"number"`
+			ID     string `json:"id"`
+		} `json:"reply"`
+	}
+	if len(data) > MaxFrameSize || skippingDecoder.Unmarshal(data, &frame) != nil || frame.Response == nil {
+		return nil, false
+	}
+	return FromResponse(frame.Response.Number, frame.Response.ID, oriole.UnknownResponse(oriole.ReasonBadResponse)), true
+}
--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -132,6 +132,10 @@
 		frame, err := oriolemessage.Decode[oriolemessage.Frame](data)
 		if err != nil {
 			p.RejectFrame(l.peer, "unreadable", err)
+			if response, found := oriolemessage.UnreadableResponse(data); found {
+				// The request's caller would wait until the deadline.
+				p.handle(ctx, l, &oriolemessage.Frame{Response: response}, 0)
+			}
 			continue
 		}
 		p.cfg.Clock.Observe(frame.Clock)
