--- a/internal/orioleupstream/client.go
+++ b/internal/orioleupstream/client.go
@@ -33,6 +33,10 @@
 // same connection.
 var ErrAmbiguous = errors.New("response may belong to an earlier request")
 
+// ErrBadResponse is returned, with its cause, if the response can't be used although the
+// connection has not failed.
+var ErrBadResponse = errors.New("bad response")
+
 // Response is a complete response of an upstream.
 type Response struct {
 	// Conn identifies the connection that the response was received on.
--- a/internal/orioleupstream/conn.go
+++ b/internal/orioleupstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -83,6 +84,8 @@
 	// remaining is the number of bytes that the head may still take, or below 0
 	// if no head is being read.
 	remaining int
+	// failed is set once the connection has returned an error, also its end.
+	failed bool
 }
 
 // errHeadTooLarge is returned if the head of a response exceeds maxHeadBytes.
@@ -90,14 +93,17 @@
 
 // Read implements io.Reader.
 func (r *headLimiter) Read(data []byte) (n int, err error) {
-	if r.remaining < 0 {
-		return r.conn.Read(data)
-	}
 	if r.remaining == 0 {
 		return 0, errHeadTooLarge
 	}
-	n, err = r.conn.Read(data[:min(len(data), r.remaining)])
-	r.remaining -= n
+	if r.remaining > 0 {
+		data = data[:min(len(data), r.remaining)]
+	}
+	n, err = r.conn.Read(data)
+	r.failed = err != nil
+	if r.remaining > 0 {
+		r.remaining -= n
+	}
 	return n, err
 }
 
@@ -225,6 +231,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	c.tracker.started.Store(false)
+	c.head.failed = false
 	req, hasPast := call.Request, c.used
 	written := make(chan error, 1)
 	if req.ContentLength <= bufferSize {
@@ -235,6 +242,9 @@
 		go func() { written <- c.write(req) }()
 	}
 	resp, reusable, err = c.read(call, hold)
+	if err != nil && !c.head.failed {
+		err = fmt.Errorf("%w: %w", ErrBadResponse, err)
+	}
 	if err != nil {
 		return nil, false, err
 	}
@@ -285,6 +295,9 @@
 			return nil, false, err
 		}
 		c.head.remaining = -1
+		if err := validate(resp); err != nil {
+			return nil, false, err
+		}
 		if call.Head != nil {
 			call.Head(resp)
 		}
@@ -292,7 +305,9 @@
 		if err != nil {
 			return nil, false, err
 		}
-		if resp.StatusCode < 200 {
+		// The end of the connection may be that of the body.
+		c.head.failed = false
+		if interim(resp) {
 			continue
 		}
 		if !call.MatchesRequest(resp) {
@@ -302,8 +317,42 @@
 		if !first && call.Unnamed != nil && call.Unnamed() {
 			return nil, false, ErrAmbiguous
 		}
-		reusable := !resp.Close && (resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0) && c.in.Buffered() == 0
+		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+		if resp.StatusCode == http.StatusNoContent && claimsBody(resp) {
+			// The body that the upstream may send is none to net/http.
+			framed = false
+		}
+		reusable := !resp.Close && framed && c.in.Buffered() == 0
 		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, reusable, nil
 	}
 	return nil, false, errors.New("no response matches the request")
 }
+
+// validate returns an error if net/http has accepted a response that HTTP/1 does not allow
+// for a request without an upgrade.
+func validate(resp *http.Response) error {
+	switch {
+	case resp.ProtoMajor != 1:
+		return errors.Errorf("protocol %s", resp.Proto)
+	case !interim(resp) && !oriole.FinalStatus(resp.StatusCode):
+		// net/http accepts three digits of any value, and signs such as in +20.
+		return errors.Errorf("status %q", resp.Status)
+	case interim(resp) && claimsBody(resp):
+		// Upstream and gateway disagree on where the next response begins.
+		return errors.Errorf("status %q with a body", resp.Status)
+	}
+	return nil
+}
+
+// interim reports whether another response follows. After status 101 the connection
+// carries another protocol.
+func interim(resp *http.Response) bool {
+	return resp.StatusCode >= 100 && resp.StatusCode < 200 && resp.StatusCode != http.StatusSwitchingProtocols
+}
+
+// claimsBody reports whether the header announces a body, also where the status allows
+// none.
+func claimsBody(resp *http.Response) bool {
+	length := resp.Header.Get("Content-Length")
+	return len(resp.TransferEncoding) > 0 || (length != "" && length != "0")
+}
