--- a/internal/oriolerouter/oriolestate/watcher.go
+++ b/internal/oriolerouter/oriolestate/watcher.go
@@ -29,7 +29,10 @@
 )
 
 // RecordRelay records that a peer has relayed an update of the directory.
-func (t *Tracker) RecordRelay() { t.lastRelay.Store(t.cfg.Timers.Now().UnixNano()) }
+func (t *Tracker) RecordRelay() {
+	now := t.cfg.Timers.Now()
+	t.lastRelay.Store(&now)
+}
 
 // RecordPeerResponse records that the directory responded to a peer at the given
 // time.
@@ -43,7 +46,7 @@
 func (t *Tracker) watcherRole() watcherRole {
 	ranked := rankWatchers(t.Snapshot())
 	now := t.cfg.Timers.Now()
-	relayed := now.Sub(time.Unix(0, t.lastRelay.Load())) <= watcherLossTimeout
+	relayed := now.Sub(*t.lastRelay.Load()) <= watcherLossTimeout
 	reached := t.DirectoryAge() <= watcherLossTimeout
 	switch {
 	case len(ranked) == 0:
