--- a/internal/oriolerouter/orioledispatcher/cold.go
+++ b/internal/oriolerouter/orioledispatcher/cold.go
@@ -92,9 +92,9 @@
 // this gateway is the only sender of. It reads the clocks itself, the one that shows a pause
 // first: the time of a tick may be from before the pause.
 func (d *poolDuty) observe(ctx context.Context) {
-	awake := d.dispatcher.cfg.BootClock.Now()
+	bootTime := d.dispatcher.cfg.BootClock.Now()
 	now := d.dispatcher.cfg.Timers.Now()
-	changed := d.quorum.Tick(now, awake)
+	changed := d.quorum.Tick(now, bootTime)
 	if stopping := d.dispatcher.schedule.Load() != nil; stopping != d.stopping {
 		d.stopping, changed = stopping, true
 	}
--- a/pkg/oriole/oriolequorum/quorum.go
+++ b/pkg/oriole/oriolequorum/quorum.go
@@ -6,8 +6,9 @@
 // A gateway is the only sender of a pool while it ranks first among the dispatchers that
 // it takes for alive, has been in contact with a majority of the listed gateways for
 // [SettleTime], and has itself run without a pause for as long. A gateway whose view
-// differs has started, was paused or is cut off, and so is in one of two states: it has
-// no majority, or its settle time is not over.
+// differs has mostly started, was paused or is cut off: then it has no majority, or its
+// settle time is not over. Two that list different gateways, or are cut off in one
+// direction only, may both send for a while.
 package oriolequorum
 
 import (
@@ -51,14 +52,14 @@
 }
 
 // Tick must be called at intervals that are much shorter than the settle time, and before
-// each decision, to notice pauses of this gateway. awake is the time by a clock that
+// each decision, to notice pauses of this gateway. bootTime is the time by a clock that
 // includes suspensions. Tick reports whether [Monitor.Tenure] may have changed, which is
 // always so without a majority.
-func (m *Monitor) Tick(now, awake time.Time) (changed bool) {
-	if !m.observedAt.IsZero() && awake.Sub(m.observedAt) > maxGap {
+func (m *Monitor) Tick(now, bootTime time.Time) (changed bool) {
+	if !m.observedAt.IsZero() && bootTime.Sub(m.observedAt) > maxGap {
 		m.resumedAt, changed = now, true
 	}
-	m.observedAt = awake
+	m.observedAt = bootTime
 	return changed || !m.majority
 }
 
--- a/pkg/oriole/oriolequorum/quorum_test.go
+++ b/pkg/oriole/oriolequorum/quorum_test.go
@@ -105,11 +105,11 @@
 	state, ranked := view(3, 0, 1, 2)
 	m := oriolequorum.New(ranked[0], began)
 	m.Update(began, state)
-	now, awake := began, began
+	now, bootTime := began, began
 	var tenure oriolequorum.Tenure
 	step := func(wait, suspended time.Duration) {
-		now, awake = now.Add(wait), awake.Add(wait+suspended)
-		m.Tick(now, awake)
+		now, bootTime = now.Add(wait), bootTime.Add(wait+suspended)
+		m.Tick(now, bootTime)
 		tenure = m.Tenure(now, pool, tenure)
 	}
 	for range 20 {
