--- a/internal/oriolerouter/oriolelink/heartbeat.go
+++ b/internal/oriolerouter/oriolelink/heartbeat.go
@@ -77,13 +77,13 @@
 func (p *Links) sendHeartbeats(now time.Time, heartbeat *oriolemessage.Heartbeat, changed bool) {
 	frame := &outgoing{frame: p.heartbeatFrame(heartbeat)}
 	for _, l := range p.onePerPeer() {
-		idle := l.lastWrite.age(now)
+		idle := now.Sub(time.Unix(0, l.lastWrite.Load()))
 		if changed || idle >= idleHeartbeatInterval || (idle >= heartbeatInterval*3/4 && p.shouldHeartbeat(l.peer)) {
 			p.offer(l, frame)
 		}
 	}
 	for _, l := range p.servingLinks() {
-		if l.lastWrite.age(now) >= heartbeatInterval*3/4 {
+		if now.Sub(time.Unix(0, l.lastWrite.Load())) >= heartbeatInterval*3/4 {
 			p.offer(l, frame)
 		}
 	}
--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -54,9 +54,9 @@
 	// lastNumber is the number of the last request sent on this link.
 	lastNumber atomic.Uint64
 	// lastWrite is when the last frame was written, and lastRead when the last
-	// one was received.
-	lastWrite lastTime
-	lastRead  lastTime
+	// one was received, in Unix nanoseconds.
+	lastWrite atomic.Int64
+	lastRead  atomic.Int64
 
 	// transit measures the delay of the peer's frames. Only the reader uses it.
 	transit transit
@@ -126,7 +126,7 @@
 		if err != nil {
 			return err
 		}
-		l.lastRead.set(time.Now())
+		l.lastRead.Store(time.Now().UnixNano())
 		p.cfg.Metrics.Add("link_bytes_in", int64(len(data)))
 		p.markHeard(l.peer)
 		frame, err := oriolemessage.Decode[oriolemessage.Frame](data)
@@ -180,7 +180,7 @@
 	defer cancel()
 	p.cfg.Metrics.Add("link_bytes_out", int64(len(data)))
 	p.cfg.Metrics.Add("link_bytes_"+frame.Kind(), int64(len(data)))
-	l.lastWrite.set(time.Now())
+	l.lastWrite.Store(time.Now().UnixNano())
 	return l.conn.Write(ctx, websocket.MessageBinary, data)
 }
 
@@ -314,7 +314,7 @@
 func (l *link) unresponsive(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.lastRead.age(now) <= orioleliveness.SilenceTimeout {
+	if now.UnixNano()-l.lastRead.Load() <= int64(orioleliveness.SilenceTimeout) {
 		return false
 	}
 	for _, req := range l.pending {
--- a/internal/oriolerouter/oriolestate/tracker.go
+++ b/internal/oriolerouter/oriolestate/tracker.go
@@ -102,8 +102,8 @@
 	// lastResponse is when the directory last responded to this gateway, or nil. It
 	// has a monotonic reading, since the wall clock may be set back.
 	lastResponse atomic.Pointer[time.Time]
-	// lastRelay is when a peer last relayed an update. It has a monotonic reading.
-	lastRelay atomic.Pointer[time.Time]
+	// lastRelay is when a peer last relayed an update, in Unix nanoseconds.
+	lastRelay atomic.Int64
 
 	mu          sync.Mutex
 	subscribers []chan struct{}
--- a/internal/oriolerouter/oriolestate/watcher.go
+++ b/internal/oriolerouter/oriolestate/watcher.go
@@ -29,10 +29,7 @@
 )
 
 // RecordRelay records that a peer has relayed an update of the directory.
-func (t *Tracker) RecordRelay() {
-	now := t.cfg.Timers.Now()
-	t.lastRelay.Store(&now)
-}
+func (t *Tracker) RecordRelay() { t.lastRelay.Store(t.cfg.Timers.Now().UnixNano()) }
 
 // RecordPeerResponse records that the directory responded to a peer at the given
 // time.
@@ -46,7 +43,7 @@
 func (t *Tracker) watcherRole() watcherRole {
 	ranked := rankWatchers(t.Snapshot())
 	now := t.cfg.Timers.Now()
-	relayed := now.Sub(*t.lastRelay.Load()) <= watcherLossTimeout
+	relayed := now.Sub(time.Unix(0, t.lastRelay.Load())) <= watcherLossTimeout
 	reached := t.DirectoryAge() <= watcherLossTimeout
 	switch {
 	case len(ranked) == 0:
