--- a/internal/oriolerouter/orioledispatcher/cold.go
+++ b/internal/oriolerouter/orioledispatcher/cold.go
@@ -88,26 +88,13 @@
 	clear(c.sent)
 }
 
-// observe notices a pause of this gateway, and updates the pools if it may have changed which
-// of them this gateway is the only sender of. It reads the clock itself: the time of a tick
-// may be from before the pause.
+// observe takes in the time, and updates the pools if it may have changed which of them
+// this gateway is the only sender of. It reads the clocks itself, the one that shows a pause
+// first: the time of a tick may be from before the pause.
 func (d *poolDuty) observe(ctx context.Context) {
-	now := d.dispatcher.cfg.Timers.Now()
-	d.updateTenures(ctx, now, d.quorum.Observe(now))
-}
-
-// observeTick does the same for a tick, and notices suspensions too. The clock that includes
-// them costs a system call, so that it isn't read for each request. It is read first: the
-// other one may then be later, but not earlier than the end of the pause.
-func (d *poolDuty) observeTick(ctx context.Context) {
 	bootTime := d.dispatcher.cfg.BootClock.Now()
 	now := d.dispatcher.cfg.Timers.Now()
-	d.updateTenures(ctx, now, d.quorum.Tick(now, bootTime))
-}
-
-// updateTenures updates all pools if the rights may have changed, or the gateway has begun
-// to stop.
-func (d *poolDuty) updateTenures(ctx context.Context, now time.Time, changed bool) {
+	changed := d.quorum.Tick(now, bootTime)
 	if stopping := d.dispatcher.schedule.Load() != nil; stopping != d.stopping {
 		d.stopping, changed = stopping, true
 	}
--- a/internal/oriolerouter/orioledispatcher/duty.go
+++ b/internal/oriolerouter/orioledispatcher/duty.go
@@ -305,7 +305,7 @@
 	if d.reportDue {
 		d.reportDurations(ctx)
 	}
-	d.observeTick(ctx)
+	d.observe(ctx)
 	d.withdrawCrashes(now)
 	d.reportCold(now)
 	for id, p := range d.pools {
--- a/pkg/oriole/oriolepool/server.go
+++ b/pkg/oriole/oriolepool/server.go
@@ -20,8 +20,6 @@
 	// rate. The limit for a cold upstream is 1.5 times the rate plus five requests
 	// per second, which leaves room for a second sender.
 	coldBurst = 2
-	// suspectBurst is the same for an upstream that is only suspect: it usually is not cold.
-	suspectBurst = 3
 	// suspectDuration is how long an upstream is suspect after it broke a
 	// connection. It gets requests at the rate of a cold one: if it crashed, it
 	// restarts cold, and its directory entry shows that only about a heartbeat
@@ -109,19 +107,16 @@
 	if rate <= 0 {
 		rate = suspectRate
 	}
-	b, burst := s.bucket(now), float64(suspectBurst)
-	if s.isCold(now) {
-		burst = coldBurst
-	}
-	b.refill(now, rate, burst)
+	b := s.bucket(now)
+	b.refill(now, rate)
 	return b.tokens >= 1
 }
 
-func (b *bucket) refill(now time.Time, rate, burst float64) {
+func (b *bucket) refill(now time.Time, rate float64) {
 	if now.Before(b.refilledAt) {
 		return
 	}
-	b.tokens = min(b.tokens+now.Sub(b.refilledAt).Seconds()*rate, burst)
+	b.tokens = min(b.tokens+now.Sub(b.refilledAt).Seconds()*rate, coldBurst)
 	b.refilledAt = now
 }
 
--- a/pkg/oriole/oriolepool/sole_test.go
+++ b/pkg/oriole/oriolepool/sole_test.go
@@ -98,7 +98,7 @@
 			is.Equal(h.startOrder, []oriolepool.JobID{0, 1, 2})
 			h.done(30, 1)
 			h.done(30, 2)
-			is.Equal(len(h.startOrder), 4)
+			is.Equal(len(h.startOrder), 3)
 			h.Tick(atMs(520))
 			h.collect()
 			is.Equal(len(h.startOrder), 5)
--- a/pkg/oriole/oriolequorum/quorum.go
+++ b/pkg/oriole/oriolequorum/quorum.go
@@ -34,10 +34,8 @@
 type Monitor struct {
 	self     oriole.GatewayID
 	rankings orioleplacement.RankingCache
-	// observedAt is the time of the last tick or observation, and tickedAt that of the last
-	// tick by the clock that includes suspensions.
+	// observedAt is the time of the last tick by the clock that includes suspensions.
 	observedAt time.Time
-	tickedAt   time.Time
 	state      *oriole.ClusterState
 	// majority is set if the state shows contact with a majority, which began at
 	// majoritySince; resumedAt is when this gateway started, or ran on after a pause.
@@ -53,25 +51,16 @@
 	return &Monitor{self: self, resumedAt: now, membersSince: now}
 }
 
-// Observe must be called before each decision, to notice pauses of this gateway. It reports
-// whether [Monitor.Tenure] may have changed, which is always so without a majority.
-func (m *Monitor) Observe(now time.Time) (changed bool) {
-	if !m.observedAt.IsZero() && now.Sub(m.observedAt) > maxGap {
-		m.resumedAt, changed = now, true
-	}
-	m.observedAt = now
-	return changed || !m.majority
-}
-
-// Tick must be called at intervals that are much shorter than the settle time. Besides what
-// Observe does, it notices suspensions: bootTime is the time by a clock that includes them.
+// Tick must be called at intervals that are much shorter than the settle time, and before
+// each decision, to notice pauses of this gateway. bootTime is the time by a clock that
+// includes suspensions. Tick reports whether [Monitor.Tenure] may have changed, which is
+// always so without a majority.
 func (m *Monitor) Tick(now, bootTime time.Time) (changed bool) {
-	changed = m.Observe(now)
-	if !m.tickedAt.IsZero() && bootTime.Sub(m.tickedAt) > maxGap {
+	if !m.observedAt.IsZero() && bootTime.Sub(m.observedAt) > maxGap {
 		m.resumedAt, changed = now, true
 	}
-	m.tickedAt = bootTime
-	return changed
+	m.observedAt = bootTime
+	return changed || !m.majority
 }
 
 // Update takes in a new cluster state.
