Logs tell why links and connections end

Change: lines 'link ended', 'peer unresponsive' and 'connection closed unread', fields 'cause' of 'not answered by the pool', 'listed' and 'draining' of 'peer lost'. No logic changes.

--- a/internal/oriolerouter/orioledispatcher/log.go
+++ b/internal/oriolerouter/orioledispatcher/log.go
@@ -26,7 +26,7 @@
 	}
 	d.dispatcher.cfg.Log.WithFields(log.Fields{
 		"id": req.request.ID, "pool": req.pool.String(), "upstream": req.incarnation.ID, "outcome": response.Outcome.String(),
-		"reason": response.Reason.String(), "waiting": p.pool.QueueLen(), "wait": response.ExpectedWait.String(),
+		"reason": response.Reason.String(), "cause": response.Cause, "waiting": p.pool.QueueLen(), "wait": response.ExpectedWait.String(),
 		"left": req.request.Deadline.Sub(d.dispatcher.cfg.Timers.Now()).String(),
 	}).Info(oriolelog.MessagePoolFailed)
 }
--- a/internal/oriolerouter/orioleingress/guard.go
+++ b/internal/oriolerouter/orioleingress/guard.go
@@ -76,10 +76,23 @@
 	eventSlowReader    = "slow_reader"
 	eventClosed        = "closed_for_others"
 	eventResponsesFull = "responses_full"
+	eventClosedUnread  = "closed_unread"
 )
 
 // report counts an event, and logs it at most once in each eventInterval.
 func (g *Guard) report(event string) {
+	g.count(event, func(total int64) {
+		usage := g.Ledger.Usage()
+		g.Log.WithFields(log.Fields{
+			"server": g.Server, "bound": event, "total": total,
+			"conns": usage.Conns, "held": usage.Used, "evicted": usage.Evicted,
+		}).Warn(oriolelog.MessageClientBound)
+	})
+}
+
+// count counts an event, and calls logTotal with the number of such events at most once in
+// each eventInterval.
+func (g *Guard) count(event string, logTotal func(total int64)) {
 	if g == nil || g.Metrics == nil {
 		return
 	}
@@ -94,13 +107,7 @@
 		sometimes = &rate.Sometimes{Interval: eventInterval}
 		g.events[event] = sometimes
 	}
-	sometimes.Do(func() {
-		usage := g.Ledger.Usage()
-		g.Log.WithFields(log.Fields{
-			"server": g.Server, "bound": event, "total": g.Metrics.Value("clients_" + event),
-			"conns": usage.Conns, "held": usage.Used, "evicted": usage.Evicted,
-		}).Warn(oriolelog.MessageClientBound)
-	})
+	sometimes.Do(func() { logTotal(g.Metrics.Value("clients_" + event)) })
 }
 
 // limits returns the limits now; a nil guard has none.
@@ -284,7 +291,11 @@
 
 // unsentBytes returns the number of bytes that were written to the connection and have not
 // been acknowledged by the client, or 0 if that is not known.
-func unsentBytes(conn net.Conn) (n int64) {
+func unsentBytes(conn net.Conn) int64 { return socketBytes(conn, unix.SIOCOUTQ) }
+
+// socketBytes returns the number of bytes in a queue of the connection's socket, or 0 if that
+// is not known. The queue is SIOCINQ or SIOCOUTQ.
+func socketBytes(conn net.Conn, queue uint) (n int64) {
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
 		return 0
@@ -295,7 +306,7 @@
 	}
 	// An error means that the connection is closed.
 	_ = control.Control(func(fd uintptr) {
-		if queued, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+		if queued, err := unix.IoctlGetInt(int(fd), queue); err == nil {
 			n = int64(queued)
 		}
 	})
@@ -318,9 +329,32 @@
 // sends may be read for up to discardTimeout before that.
 func (c *trackedConn) Close() error {
 	defer c.holder.Remove()
+	if c.guard != nil {
+		if unread := socketBytes(c.Conn, unix.SIOCINQ); unread > 0 {
+			c.guard.reportUnread(c, unread)
+		}
+	}
 	return c.Conn.Close()
 }
 
+// reportUnread counts a connection that is closed while bytes of its client are not read, and
+// logs it at most once in each eventInterval. A request may be among them.
+func (g *Guard) reportUnread(c *trackedConn, unread int64) {
+	c.mu.Lock()
+	closing, idleSince := c.closing, c.idleSince
+	c.mu.Unlock()
+	idle := time.Duration(0)
+	if !idleSince.IsZero() {
+		idle = time.Since(idleSince)
+	}
+	g.count(eventClosedUnread, func(total int64) {
+		g.Log.WithFields(log.Fields{
+			"server": g.Server, "peer": c.RemoteAddr().String(), "unread": unread, "closing": closing, "idle": idle.String(),
+			"served": c.servedBefore.Load(), "total": total,
+		}).Info(oriolelog.MessageClosedUnread)
+	})
+}
+
 // evict closes the connection in favor of others. A connection on which a request may just
 // have arrived is closed as an idle one is.
 func (c *trackedConn) evict() {
--- a/internal/oriolerouter/oriolelink/heartbeat.go
+++ b/internal/oriolerouter/oriolelink/heartbeat.go
@@ -6,7 +6,10 @@
 	"reflect"
 	"time"
 
+	"github.com/apex/log"
+
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
+	"github.com/orioleswitch/orioleswitch/internal/oriolerouter/oriolelog"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 )
 
@@ -143,8 +146,14 @@
 		return
 	}
 	for id, l := range p.links {
-		if l.unresponsive(now) || p.liveness.Failed(id) {
-			l.failIdempotent()
+		silent := l.unresponsive(now)
+		if !silent && !p.liveness.Failed(id) {
+			continue
+		}
+		if failed := l.failIdempotent(); failed > 0 {
+			p.cfg.Log.WithFields(log.Fields{
+				"peer": id, "requests": failed, "silent": silent, "heard": now.Sub(time.Unix(0, l.lastRead.Load())).String(),
+			}).Info(oriolelog.MessagePeerUnresponsive)
 		}
 	}
 }
--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -6,10 +6,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
+	"github.com/orioleswitch/orioleswitch/internal/oriolerouter/oriolelog"
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleliveness"
@@ -47,8 +49,10 @@
 // writes.
 type link struct {
 	peer oriole.GatewayID
-	conn *websocket.Conn
-	out  *oriolering.Ring[*outgoing]
+	// dialed is set if this gateway has opened the link.
+	dialed bool
+	conn   *websocket.Conn
+	out    *oriolering.Ring[*outgoing]
 	// queued bounds the bodies of the frames in out.
 	queued queuedBytes
 	// lastNumber is the number of the last request sent on this link.
@@ -104,20 +108,29 @@
 
 // serve reads and writes until the connection ends, then fails all pending
 // requests.
-func (l *link) serve(ctx context.Context, p *Links) error {
-	defer l.failPending()
+func (l *link) serve(ctx context.Context, p *Links) {
 	ctx, cancel := context.WithCancel(ctx)
-	written := make(chan struct{})
+	writeErr := make(chan error, 1)
 	go func() {
-		defer close(written)
-		_ = l.writeLoop(ctx, p)
+		writeErr <- l.writeLoop(ctx, p)
 		_ = l.conn.CloseNow()
 	}()
 	err := l.readLoop(ctx, p)
+	reading := ctx.Err() == nil
 	cancel()
-	<-written
+	side := "read"
+	if failed := <-writeErr; reading && !errors.Is(failed, context.Canceled) {
+		// The end of the writer has ended the reader.
+		side, err = "write", failed
+	}
+	queued := l.out.Len()
 	l.queued.close()
-	return errors.Wrapf(err, "link with %s", l.peer)
+	lost := l.failPending()
+	// Not repeated more often than links are dialed.
+	p.cfg.Log.WithError(err).WithFields(log.Fields{
+		"peer": l.peer, "dialed": l.dialed, "side": side, "queued": queued, "pending": lost.pending, "running": lost.running,
+		"silent": time.Since(time.Unix(0, l.lastRead.Load())).String(),
+	}).Info(oriolelog.MessageLinkEnded)
 }
 
 func (l *link) readLoop(ctx context.Context, p *Links) error {
@@ -273,12 +286,16 @@
 	return true
 }
 
+// lostRequests holds the numbers of requests that ended with a link.
+type lostRequests struct{ pending, running int }
+
 // failPending fails all pending requests when the link has ended, and cancels
 // the peer's requests that run here.
-func (l *link) failPending() {
+func (l *link) failPending() (lost lostRequests) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
+	lost = lostRequests{len(l.pending), len(l.running)}
 	for _, req := range l.pending {
 		if !req.writtenAt.IsZero() {
 			req.response <- oriole.UnknownResponse(oriole.ReasonConnection)
@@ -292,20 +309,23 @@
 	}
 	clear(l.running)
 	l.dropPartials()
+	return lost
 }
 
 // failIdempotent fails the idempotent requests that wait for an unresponsive
 // peer, so that they can be retried elsewhere. Other requests keep waiting: the
 // peer may only be paused, and its response is better than an unknown outcome.
-func (l *link) failIdempotent() {
+func (l *link) failIdempotent() (failed int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for number, req := range l.pending {
 		if req.idempotent {
 			delete(l.pending, number)
 			req.response <- oriole.UnknownResponse(oriole.ReasonConnection)
+			failed++
 		}
 	}
+	return failed
 }
 
 // unresponsive reports whether nothing was received on the link for longer than
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -246,7 +246,7 @@
 	p.mu.Lock()
 	p.accepted[l] = true
 	p.mu.Unlock()
-	_ = l.serve(ctx, p)
+	l.serve(ctx, p)
 	p.mu.Lock()
 	delete(p.accepted, l)
 	p.mu.Unlock()
@@ -474,6 +474,7 @@
 		return false
 	}
 	l := newLink(d.to.ID, conn, p.cfg.Memory, p.cfg.QueueMemory)
+	l.dialed = true
 	self, heartbeat := p.cfg.Self, p.cfg.Receiver.Heartbeat()
 	self.Draining = heartbeat.Draining
 	l.out.Offer(&outgoing{frame: &oriolemessage.Frame{Hello: oriolemessage.FromMember(self)}})
@@ -482,9 +483,7 @@
 	p.links[d.to.ID] = l
 	p.liveness.RecordFrame(p.cfg.Timers.Now(), d.to.ID)
 	p.mu.Unlock()
-	// The error is not logged: the link is dialed again whatever the cause, and
-	// a peer that stays silent is logged as lost.
-	_ = l.serve(ctx, p)
+	l.serve(ctx, p)
 	p.mu.Lock()
 	if p.links[d.to.ID] == l {
 		delete(p.links, d.to.ID)
--- a/internal/oriolerouter/oriolelog/message.go
+++ b/internal/oriolerouter/oriolelog/message.go
@@ -67,6 +67,11 @@
 	MessageDirectoryRestored = "directory restored"
 	MessagePeerHeard         = "peer heard"
 	MessagePeerLost          = "peer lost"
+	// MessageLinkEnded says why a link ended and how many requests were lost with it, and
+	// MessagePeerUnresponsive that idempotent requests on a link were given up because
+	// nothing arrived on it.
+	MessageLinkEnded        = "link ended"
+	MessagePeerUnresponsive = "peer unresponsive"
 	// MessageUnheard says that peers may take this gateway for lost, or no longer do.
 	MessageUnheard = "unheard by a peer"
 	// MessageAccountantChanged says that another gateway keeps a workspace's rate limit.
@@ -83,7 +88,10 @@
 	MessageStarted  = "started"
 	MessageDraining = "leaving"
 	// MessageClientBound says that a bound on what clients may hold has acted.
-	MessageClientBound  = "client bound reached"
+	MessageClientBound = "client bound reached"
+	// MessageClosedUnread says that a client's connection was closed while bytes of the
+	// client were not read.
+	MessageClosedUnread = "connection closed unread"
 	MessageStopped      = "stopped"
 	MessageLinesDropped = "log lines dropped"
 )
--- a/internal/oriolerouter/oriolestate/update.go
+++ b/internal/oriolerouter/oriolestate/update.go
@@ -326,7 +326,8 @@
 	}
 	for id := range state.Alive {
 		if !u.alive[id] {
-			b.cfg.Log.WithField("peer", id).Warn(oriolelog.MessagePeerLost)
+			m, listed := state.Gateways[id]
+			b.cfg.Log.WithFields(log.Fields{"peer": id, "listed": listed, "draining": m.Draining}).Warn(oriolelog.MessagePeerLost)
 		}
 	}
 	state.SetAlive(u.alive)
--- a/internal/orioleupstream/sender.go
+++ b/internal/orioleupstream/sender.go
@@ -108,6 +108,6 @@
 	case ctx.Err() != nil:
 		response.Reason = oriole.ReasonCancelled
 	}
-	response.Server = to.ID
+	response.Server, response.Cause = to.ID, err.Error()
 	return response
 }
--- a/pkg/oriole/request.go
+++ b/pkg/oriole/request.go
@@ -168,6 +168,9 @@
 	// Refused is set if the request was not sent as the upstream's address refused the
 	// connection. It is for the dispatcher, and not sent to other gateways.
 	Refused bool
+	// Cause is the error for which there is no response, or empty. It is for logs, and
+	// not sent to other gateways.
+	Cause string
 	// IgnoredFields is the number of fields of the upstream's header that could not
 	// be read and are ignored.
 	IgnoredFields int
