Links that end without requests are not logged

Change: the line is written only if requests were under way, or writing failed. Tests of the package pass.

--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -126,7 +126,10 @@
 	queued := l.out.Len()
 	l.queued.close()
 	lost := l.failPending()
-	// Not repeated more often than links are dialed.
+	if lost == (lostRequests{}) && side == "read" {
+		// Each stop of a gateway ends its links in good order.
+		return
+	}
 	p.cfg.Log.WithError(err).WithFields(log.Fields{
 		"peer": l.peer, "dialed": l.dialed, "side": side, "queued": queued, "pending": lost.pending, "running": lost.running,
 		"silent": time.Since(time.Unix(0, l.lastRead.Load())).String(),
