Requests sent ahead that run in a stop are answered

Callers saw: in a planned stop, requests sent ahead on a connection ended without an answer although upstreams ran them. The users' rule excepts only those that were not passed on. Cause: each response of a gateway that is being stopped says that it closes the connection, also with requests behind it that run. A refusal as draining does so as well. Change: from the begin of a stop, no request is sent ahead any more, so that those behind a response that closes have reached no upstream; only the last of those that were sent ahead before closes the connection.

--- a/internal/oriolerouter/orioleingress/http.go
+++ b/internal/oriolerouter/orioleingress/http.go
@@ -102,7 +102,7 @@
 		holder, _ := holderOf(r)
 		holder.Shrink(bodySize)
 		h.forwarder.logRejected(request.ID, r.Host, r.URL.Path, *rejected)
-		h.reject(w, request, *rejected)
+		h.reject(w, r, request, *rejected)
 		return
 	}
 	resp := h.forwarder.Do(r.Context(), request, max(route.MaxAttempts, 1))
@@ -114,7 +114,7 @@
 	if r.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
-	h.writeResponse(w, request, resp)
+	h.writeResponse(w, r, request, resp)
 }
 
 // parse converts the HTTP request to an [oriole.Request], or returns a
@@ -328,12 +328,12 @@
 	return n + lineEnd
 }
 
-func (h *Handler) reject(w http.ResponseWriter, request oriole.Request, rejected rejection) {
+func (h *Handler) reject(w http.ResponseWriter, r *http.Request, request oriole.Request, rejected rejection) {
 	if rejected.reason != oriole.ReasonNone {
 		resp := oriole.NotRunResponse(rejected.reason)
 		resp.RetryAfter = rejected.retryAfter
 		h.forwarder.cfg.Metrics.Add("entry_"+resp.Outcome.String()+"_"+resp.Reason.String(), 1)
-		h.writeResponse(w, request, resp)
+		h.writeResponse(w, r, request, resp)
 		return
 	}
 	h.dialect.ToCaller(w.Header(), request, oriole.Response{Outcome: oriole.OutcomeAnswered})
@@ -343,11 +343,11 @@
 
 // writeResponse writes the upstream's response, or an error with the outcome and
 // reason if there is none.
-func (h *Handler) writeResponse(w http.ResponseWriter, request oriole.Request, resp oriole.Response) {
+func (h *Handler) writeResponse(w http.ResponseWriter, r *http.Request, request oriole.Request, resp oriole.Response) {
 	header := w.Header()
 	if resp.Outcome != oriole.OutcomeAnswered {
 		h.dialect.ToCaller(header, request, resp)
-		if resp.Reason == oriole.ReasonDraining {
+		if resp.Reason == oriole.ReasonDraining && mayClose(r.Context()) {
 			// The caller's next request should reach another gateway.
 			header.Set("Connection", "close")
 		}
--- a/internal/oriolerouter/orioleingress/pipeline.go
+++ b/internal/oriolerouter/orioleingress/pipeline.go
@@ -65,6 +65,8 @@
 	// linger is how long the rest of a caller's bytes is read after a response that closes
 	// the connection.
 	linger time.Duration
+	// draining is set in a planned stop: no request is sent ahead any more.
+	draining atomic.Bool
 }
 
 func newPipelining(addr net.Addr, metrics *orioletelemetry.Metrics) *pipelining {
@@ -167,6 +169,18 @@
 	}
 }
 
+// mayClose reports whether the response to the request may close its connection: a request
+// that was sent ahead behind it may run by now, and must be answered.
+func mayClose(ctx context.Context) bool {
+	switch conn := ctx.Value(connKey{}).(type) {
+	case *aheadRequest:
+		return conn.conn.isLast(conn)
+	case *trackedConn:
+		return conn.ahead == nil || conn.ahead.isLast(nil)
+	}
+	return true
+}
+
 // setAheadState handles the ConnState hook of http.Server for a request that was sent
 // ahead, and reports whether the connection is one of these.
 func setAheadState(conn net.Conn, state http.ConnState) bool {
--- a/internal/oriolerouter/orioleingress/pipelineconn.go
+++ b/internal/oriolerouter/orioleingress/pipelineconn.go
@@ -337,7 +337,7 @@
 // startAhead starts the requests in the buffer behind one that is not answered, and reports
 // whether more bytes are needed to go on. mu must be held, and is released meanwhile.
 func (c *pipelinedConn) startAhead() bool {
-	for !c.ended && (c.phase == phaseWhole || len(c.queue) > 0) {
+	for !c.ended && !c.shared.draining.Load() && (c.phase == phaseWhole || len(c.queue) > 0) {
 		c.scanned += c.next.feed(c.buf[c.scanned:])
 		switch {
 		case c.next.kind == headIncomplete:
@@ -522,6 +522,18 @@
 	return true
 }
 
+// isLast reports whether no request has been sent ahead behind the given one, which is nil
+// for one that net/http has read from the connection itself. In a planned stop, none follows
+// later.
+func (c *pipelinedConn) isLast(a *aheadRequest) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if a == nil {
+		return len(c.queue) == 0
+	}
+	return len(c.queue) == 0 || c.queue[len(c.queue)-1] == a
+}
+
 // atTurn reports whether the responses before the request's are written. mu must be held.
 func (c *pipelinedConn) atTurn(a *aheadRequest) bool {
 	return c.phase == phaseHead && !c.writing && len(c.queue) > 0 && c.queue[0] == a
--- a/internal/oriolerouter/orioleingress/pipelinestop_test.go
+++ b/internal/oriolerouter/orioleingress/pipelinestop_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -11,6 +12,24 @@
 	"github.com/matryer/is"
 )
 
+// TestRefusalInAStopLeavesTheRequestsBehind guards against requests sent ahead that run and
+// are never answered because one before them is refused.
+func TestRefusalInAStopLeavesTheRequestsBehind(t *testing.T) {
+	is := is.New(t)
+	server, dispatcher := gatewayForPipelining(t)
+	client := dialPipeline(t, server.addr)
+	client.send(t, getText("/again/1")+getText("/again/refused-bad")+getText("/again/3"))
+	eventually(t, "the last one runs", func() bool { return slices.Contains(dispatcher.recorded(), "start /again/3") })
+	for _, path := range []string{"/again/1", "/again/refused-bad", "/again/3"} {
+		close(dispatcher.gate(path))
+	}
+	client.expect(t, "/again/1")
+	resp, _, err := client.receive()
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	client.expect(t, "/again/3")
+}
+
 // TestRequestsThatRunInAStopAreAnswered guards against requests sent ahead that run although
 // the response before them closes the connection, so that they are never answered.
 func TestRequestsThatRunInAStopAreAnswered(t *testing.T) {
--- a/internal/oriolerouter/orioleingress/server.go
+++ b/internal/oriolerouter/orioleingress/server.go
@@ -61,7 +61,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.active.Add(1)
 	defer s.active.Add(-1)
-	if s.keepAlivesDisabled.Load() {
+	if s.keepAlivesDisabled.Load() && mayClose(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	// Handlers that read bodies set a deadline of their own.
@@ -88,10 +88,16 @@
 	return errors.Wrapf(err, "serve %s", s.name)
 }
 
-// DisableKeepAlives closes each connection after its next response, and none
-// before it. http.Server.SetKeepAlivesEnabled would also close connections that
-// look idle although the first bytes of a request were read.
-func (s *Server) DisableKeepAlives() { s.keepAlivesDisabled.Store(true) }
+// DisableKeepAlives closes each connection after its next response, or after the responses
+// to the requests that were sent ahead by then, and none before it.
+// http.Server.SetKeepAlivesEnabled would also close connections that look idle although the
+// first bytes of a request were read.
+func (s *Server) DisableKeepAlives() {
+	if p := s.listener.pipelining; p != nil {
+		p.draining.Store(true)
+	}
+	s.keepAlivesDisabled.Store(true)
+}
 
 // shutdownPollInterval is how often a server that shuts down closes idle
 // connections and checks for others.
