--- a/internal/oriolerouter/orioledispatcher/dispatcher_test.go
+++ b/internal/oriolerouter/orioledispatcher/dispatcher_test.go
@@ -34,17 +34,21 @@
 
 var pool = oriole.PoolID{Service: "s", Zone: "z"}
 
-// startDispatcher starts a dispatcher of a pool that has one upstream with two slots.
-func startDispatcher(t *testing.T) (disp *Dispatcher, sender gatedSender) {
+// startDispatcher starts a dispatcher of a pool that has one upstream with two slots. The
+// gateways are alive; this one is vm.1.
+func startDispatcher(t *testing.T, gateways ...oriole.Member) (disp *Dispatcher, sender gatedSender) {
 	t.Helper()
 	state := oriole.NewClusterState()
 	state.Config = &oriole.Config{Services: map[oriole.ServiceName]oriole.Service{"s": {Name: "s"}}}
 	state.Upstreams["i"] = oriole.Upstream{ID: "i", Service: "s", Zone: "z", Slots: 2}
+	for _, m := range gateways {
+		state.Gateways[m.ID], state.Alive[m.ID] = m, true
+	}
 	sender = gatedSender{make(chan struct{}, 8), make(chan struct{}, 8)}
 	timers := orioletimer.New()
 	spec := suture.Spec{EventHook: func(suture.Event) {}}
 	disp = New(Config{
-		State: fixedState{state}, Sender: sender, Timers: timers, Metrics: orioletelemetry.NewMetrics(), Log: &log.Logger{Handler: discard.New()},
+		Self: "vm.1", State: fixedState{state}, Sender: sender, Timers: timers, Metrics: orioletelemetry.NewMetrics(), Log: &log.Logger{Handler: discard.New()},
 		ReportDurations:   func(context.Context, oriole.ServiceName, map[oriole.ServerID]time.Duration) {},
 		ReportCrash:       func(oriolecrash.Fingerprint, oriole.Incarnation) {},
 		ReportUnreachable: func(context.Context, oriole.ServiceName, oriole.Incarnation) {},
