Requests in the socket of an idle connection are served

Cause: closeIdle ends the read of an idle connection by a deadline in the past. The same holds for the idle timeout, for connections closed for others, and for the header timeout of a new connection of which nothing was read. Change: a deadline that ends a read of an idle connection is no reason to close it. The goroutine that reads looks at the socket first. If bytes wait, it reads them, with the time for a header from then. Deadlines of headers that have begun, and of bodies, hold as before.

--- a/internal/oriolerouter/orioleingress/listener.go
+++ b/internal/oriolerouter/orioleingress/listener.go
@@ -3,10 +3,14 @@
 import (
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleclients"
 )
 
@@ -164,23 +168,46 @@
 	return n, err
 }
 
-// read reads from the connection. A request whose first bytes were read just before the
-// connection would have been closed is served.
+// read reads from the connection. An idle connection is kept if bytes have arrived before it
+// is closed: the deadline that ends a read is noticed before bytes that already wait in the
+// socket, if the process lacks the processor.
 func (c *trackedConn) read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.requestWaits() {
+		n, err = c.Conn.Read(data)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.received = c.received || n > 0
 	if n > 0 && c.closing {
-		c.closing = false
-		c.holder.Restore()
-		if err := c.SetReadDeadline(time.Now().Add(headerTimeout)); err != nil {
+		if err := c.keep(); err != nil {
 			return n, err
 		}
 	}
 	return n, err
 }
 
+// requestWaits reports whether bytes wait in the socket of a connection that a deadline has
+// found idle, so that it must not be closed.
+func (c *trackedConn) requestWaits() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleSince.IsZero() || c.received || socketBytes(c.Conn, unix.SIOCINQ) == 0 {
+		return false
+	}
+	c.received = true
+	return c.keep() == nil
+}
+
+// keep takes back a decision to close the connection, as a request arrives. mu must be held.
+func (c *trackedConn) keep() error {
+	if c.closing {
+		c.closing = false
+		c.holder.Restore()
+	}
+	return c.SetReadDeadline(time.Now().Add(headerTimeout))
+}
+
 // setIdle marks the connection idle. If it is still idle after the timeout, it
 // is closed; 0 means no timeout.
 func (c *trackedConn) setIdle(now time.Time, timeout time.Duration) {
@@ -204,7 +231,8 @@
 
 // closeIdle ends reads of the connection, so that net/http closes it, if it has
 // been idle for minIdleBeforeClose and nothing was read. It doesn't close the
-// connection itself: bytes may just have been read, which must be answered.
+// connection itself: bytes may just have been read, or wait in the socket, which
+// must be answered. The reader decides.
 func (c *trackedConn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
