Connections in the accept queue are served when listening ends

Cause: at the end of listening the listener is closed, and the kernel resets the connections that it has accepted and the process has not. On a process that lacks the processor these are many, and their requests may have arrived. Change: at that time, the goroutine that accepts takes what the kernel has, without waiting for more, and closes the listener once it has found the queue empty. Connections taken so are served or refused as all others. If the stop is cut before, the listener is closed as it was. Result, go test -race: TestConnectionsInAcceptQueueAreServed failed with connection reset by peer, passes now (3 runs). The tests of the router whose names have Drain or Directory pass.

--- a/internal/oriolerouter/orioleingress/listener.go
+++ b/internal/oriolerouter/orioleingress/listener.go
@@ -6,6 +6,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,8 +31,10 @@
 	guard *Guard
 	// pipelining is nil if the requests of a connection are served one after the other.
 	pipelining *pipelining
-	mu         sync.Mutex
-	conns      map[*trackedConn]bool
+	// ending is set once no more connections are accepted than those that the kernel has.
+	ending atomic.Bool
+	mu     sync.Mutex
+	conns  map[*trackedConn]bool
 }
 
 func newTrackedListener(l net.Listener, idleTimeout func() time.Duration) *trackedListener {
@@ -41,7 +44,7 @@
 // Accept implements net.Listener.
 func (l *trackedListener) Accept() (net.Conn, error) {
 	for {
-		conn, err := l.Listener.Accept()
+		conn, err := l.accept()
 		if err != nil {
 			return nil, err
 		}
@@ -62,6 +65,56 @@
 	}
 }
 
+// queueListener is implemented by TCP listeners.
+type queueListener interface {
+	net.Listener
+	syscall.Conn
+	SetDeadline(t time.Time) error
+}
+
+// acceptTimeout bounds a call to accept a connection that the kernel has.
+const acceptTimeout = 100 * time.Millisecond
+
+// endAccept ends listening. Connections that the kernel has accepted are still accepted, as
+// closing the listener would reset them: the goroutine that accepts them closes it.
+func (l *trackedListener) endAccept() {
+	l.ending.Store(true)
+	if listener, ok := l.Listener.(queueListener); ok && listener.SetDeadline(time.Unix(1, 0)) == nil {
+		return
+	}
+	// Close only fails if the listener is already closed.
+	_ = l.Listener.Close()
+}
+
+// accept accepts a connection, or closes the listener if listening is to end and the kernel
+// has none. It doesn't wait for new ones then.
+func (l *trackedListener) accept() (net.Conn, error) {
+	for {
+		listener, ok := l.Listener.(queueListener)
+		if l.ending.Load() && (!ok || !connWaits(listener) || listener.SetDeadline(time.Now().Add(acceptTimeout)) != nil) {
+			_ = l.Listener.Close()
+		}
+		conn, err := l.Listener.Accept()
+		if err == nil || !l.ending.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return conn, err
+		}
+	}
+}
+
+// connWaits reports whether the kernel has a connection that is not accepted yet.
+func connWaits(listener syscall.Conn) (waits bool) {
+	control, err := listener.SyscallConn()
+	if err != nil {
+		return false
+	}
+	// An error means that the listener is closed.
+	_ = control.Control(func(fd uintptr) {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		waits = err == nil && n > 0
+	})
+	return waits
+}
+
 // setState implements the ConnState hook of http.Server.
 func (l *trackedListener) setState(conn net.Conn, state http.ConnState) {
 	if setAheadState(conn, state) {
--- a/internal/oriolerouter/orioleingress/server.go
+++ b/internal/oriolerouter/orioleingress/server.go
@@ -97,13 +97,16 @@
 // connections and checks for others.
 const shutdownPollInterval = 20 * time.Millisecond
 
-// Shutdown closes the listener and idle connections, and waits until all
+// Shutdown ends listening, closes idle connections, and waits until all
 // connections have ended: a request may be on its way on one that was just
-// accepted. It fails if requests are in flight when ctx is done.
+// accepted, or that the kernel has. It fails if requests are in flight when ctx
+// is done.
 func (s *Server) Shutdown(ctx context.Context, timers oriole.Timers) (err error) {
 	s.listenerClosed.Store(true)
-	// Close only fails if the listener is already closed.
-	_ = s.listener.Close()
+	s.listener.endAccept()
+	// If ctx is done before, no more connections are accepted. Close only fails if the
+	// listener is already closed.
+	defer func() { _ = s.listener.Close() }()
 	ticks, stop := timers.Subscribe(shutdownPollInterval)
 	defer stop()
 	for {
--- a/pkg/oriole/oriolestop/stop.go
+++ b/pkg/oriole/oriolestop/stop.go
@@ -29,7 +29,8 @@
 // Schedule is the course of a planned stop. A nil Schedule is that of a gateway
 // that isn't being stopped.
 type Schedule struct {
-	// ListenUntil is until when connections are accepted.
+	// ListenUntil is until when connections are accepted. Those that the kernel has
+	// accepted by then are served, too.
 	ListenUntil time.Time
 	// AnswerUntil is until when upstreams may work on requests, if that is known
 	// when the requests are passed on.
