Closing responses are not cut off where net/http reads the connection

Cause: behind a head whose end is not certain, such as one of a chunked body, net/http reads the rest of the connection. If a response closes it while further requests wait in the socket, Close resets the connection, and what the caller has not taken of the response is lost. Other connections are read on for 0.5 s then. Change: those connections, too, if their sockets hold bytes. Result, go test -race: TestClosingResponseIsNotCutOff, GET with odd header and POST with chunks failed with connection reset by peer, none of the 4 cases does now (3 runs).

--- a/internal/oriolerouter/orioleingress/pipelineconn.go
+++ b/internal/oriolerouter/orioleingress/pipelineconn.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleclients"
 )
@@ -466,7 +467,8 @@
 func (c *pipelinedConn) Close() error {
 	c.mu.Lock()
 	if !c.ended {
-		behind := len(c.queue) > 0 || len(c.buf) > 0 || c.phase == phaseEarly || c.refused
+		behind := len(c.queue) > 0 || len(c.buf) > 0 || c.phase == phaseEarly || c.refused ||
+			c.phase == phaseUnknown && socketBytes(c.Conn, unix.SIOCINQ) > 0
 		c.linger = behind && c.readErr == nil && !c.shared.isClosed()
 		c.end()
 		_ = c.discardRest()
