--- a/internal/oriolerouter/orioleingress/listener.go
+++ b/internal/oriolerouter/orioleingress/listener.go
@@ -3,10 +3,15 @@
 import (
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleclients"
 )
 
@@ -26,8 +31,10 @@
 	guard *Guard
 	// pipelining is nil if the requests of a connection are served one after the other.
 	pipelining *pipelining
-	mu         sync.Mutex
-	conns      map[*trackedConn]bool
+	// ending is set once no more connections are accepted than those that the kernel has.
+	ending atomic.Bool
+	mu     sync.Mutex
+	conns  map[*trackedConn]bool
 }
 
 func newTrackedListener(l net.Listener, idleTimeout func() time.Duration) *trackedListener {
@@ -37,7 +44,7 @@
 // Accept implements net.Listener.
 func (l *trackedListener) Accept() (net.Conn, error) {
 	for {
-		conn, err := l.Listener.Accept()
+		conn, err := l.accept()
 		if err != nil {
 			return nil, err
 		}
@@ -58,6 +65,56 @@
 	}
 }
 
+// queueListener is implemented by TCP listeners.
+type queueListener interface {
+	net.Listener
+	syscall.Conn
+	SetDeadline(t time.Time) error
+}
+
+// acceptTimeout bounds a call to accept a connection that the kernel has.
+const acceptTimeout = 100 * time.Millisecond
+
+// endAccept ends listening. Connections that the kernel has accepted are still accepted, as
+// closing the listener would reset them: the goroutine that accepts them closes it.
+func (l *trackedListener) endAccept() {
+	l.ending.Store(true)
+	if listener, ok := l.Listener.(queueListener); ok && listener.SetDeadline(time.Unix(1, 0)) == nil {
+		return
+	}
+	// Close only fails if the listener is already closed.
+	_ = l.Listener.Close()
+}
+
+// accept accepts a connection, or closes the listener if listening is to end and the kernel
+// has none. It doesn't wait for new ones then.
+func (l *trackedListener) accept() (net.Conn, error) {
+	for {
+		listener, ok := l.Listener.(queueListener)
+		if l.ending.Load() && (!ok || !connWaits(listener) || listener.SetDeadline(time.Now().Add(acceptTimeout)) != nil) {
+			_ = l.Listener.Close()
+		}
+		conn, err := l.Listener.Accept()
+		if err == nil || !l.ending.Load() || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return conn, err
+		}
+	}
+}
+
+// connWaits reports whether the kernel has a connection that is not accepted yet.
+func connWaits(listener syscall.Conn) (waits bool) {
+	control, err := listener.SyscallConn()
+	if err != nil {
+		return false
+	}
+	// An error means that the listener is closed.
+	_ = control.Control(func(fd uintptr) {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		waits = err == nil && n > 0
+	})
+	return waits
+}
+
 // setState implements the ConnState hook of http.Server.
 func (l *trackedListener) setState(conn net.Conn, state http.ConnState) {
 	if setAheadState(conn, state) {
@@ -164,23 +221,54 @@
 	return n, err
 }
 
-// read reads from the connection. A request whose first bytes were read just before the
-// connection would have been closed is served.
+// read reads from the connection. An idle connection is kept if bytes have arrived before it
+// is closed: the deadline that ends a read is noticed before bytes that already wait in the
+// socket, if the process lacks the processor.
 func (c *trackedConn) read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.requestWaits() {
+		n, err = c.Conn.Read(data)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.received = c.received || n > 0
 	if n > 0 && c.closing {
-		c.closing = false
-		c.holder.Restore()
-		if err := c.SetReadDeadline(time.Now().Add(headerTimeout)); err != nil {
+		if err := c.keep(); err != nil {
 			return n, err
 		}
 	}
 	return n, err
 }
 
+// requestWaits reports whether bytes wait in the socket of a connection that a deadline has
+// found idle, so that it must not be closed. Otherwise it ends the connection in the
+// direction of the client, which must not send a request until net/http closes it.
+func (c *trackedConn) requestWaits() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleSince.IsZero() || c.received {
+		return false
+	}
+	if socketBytes(c.Conn, unix.SIOCINQ) == 0 {
+		if conn, ok := c.Conn.(closeWriter); ok {
+			// An error means that the connection is closed.
+			_ = conn.CloseWrite()
+		}
+		return false
+	}
+	c.received = true
+	return c.keep() == nil
+}
+
+// keep takes back a decision to close the connection, as a request arrives. mu must be held.
+func (c *trackedConn) keep() error {
+	if c.closing {
+		c.closing = false
+		c.holder.Restore()
+	}
+	return c.SetReadDeadline(time.Now().Add(headerTimeout))
+}
+
 // setIdle marks the connection idle. If it is still idle after the timeout, it
 // is closed; 0 means no timeout.
 func (c *trackedConn) setIdle(now time.Time, timeout time.Duration) {
@@ -204,7 +292,8 @@
 
 // closeIdle ends reads of the connection, so that net/http closes it, if it has
 // been idle for minIdleBeforeClose and nothing was read. It doesn't close the
-// connection itself: bytes may just have been read, which must be answered.
+// connection itself: bytes may just have been read, or wait in the socket, which
+// must be answered. The reader decides.
 func (c *trackedConn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
