Retries of lost requests are bounded by the stop

Cause: the forwarder of a gateway that is being stopped did not try an idempotent request again whose attempt was lost if its deadline was later than the end of the stop. The caller got 502 at once although seconds were left. A request that has not run is refused as draining, as before.

--- a/internal/oriolerouter/orioleingress/forwarder.go
+++ b/internal/oriolerouter/orioleingress/forwarder.go
@@ -146,7 +146,7 @@
 	var tried triedDispatchers
 	for attempt := 1; ; attempt++ {
 		attempts = attempt
-		pool, dispatcher, reason := f.target(ctx, r, &tried)
+		pool, dispatcher, reason := f.target(ctx, r, &tried, mayHaveRun)
 		if reason != oriole.ReasonNone {
 			resp := oriole.NotRunResponse(reason)
 			resp.RetryAfter = noOwnerRetryAfter
@@ -157,6 +157,11 @@
 			return finalResponse(resp, mayHaveRun)
 		}
 		r.Pool = pool
+		if end := f.schedule.Load().Bound(r.Deadline); end.Before(r.Deadline) {
+			r.Deadline = end
+			ctx, cancel = context.WithTimeout(ctx, end.Sub(f.cfg.Clock.Now()))
+			defer cancel()
+		}
 		if oriolelog.Sampled(r.ID, oriolelog.SampleOneIn) {
 			f.cfg.Log.WithFields(f.routingFields(r, dispatcher, attempt)).Info(oriolelog.MessageRouted)
 		}
@@ -329,7 +334,8 @@
 	case oriole.OutcomeAnswered:
 		return false
 	case oriole.OutcomeUnknown:
-		return r.Idempotent && attempt < maxAttempts && resp.Reason != oriole.ReasonDeadline && f.admits(r.Deadline) && f.budget.withdraw(r.Service)
+		remaining = f.schedule.Load().Bound(r.Deadline).Sub(f.cfg.Clock.Now())
+		return r.Idempotent && attempt < maxAttempts && resp.Reason != oriole.ReasonDeadline && remaining >= minTimeToRetry && f.budget.withdraw(r.Service)
 	}
 	switch resp.Reason {
 	case oriole.ReasonPaused:
@@ -385,12 +391,13 @@
 
 // target returns the pool of the request and the pool's dispatcher, or the reason
 // why there is none or the request must not be passed on. Gateways that were tried are
-// left out. It waits up to ownerWaitTimeout for an owner.
-func (f *Forwarder) target(ctx context.Context, r oriole.Request, tried *triedDispatchers) (pool oriole.PoolID, dispatcher oriole.GatewayID, reason oriole.Reason) {
+// left out. It waits up to ownerWaitTimeout for an owner. A request that may have run is
+// not refused as draining: its outcome would be unknown, and the stop bounds its retry.
+func (f *Forwarder) target(ctx context.Context, r oriole.Request, tried *triedDispatchers, mayHaveRun bool) (pool oriole.PoolID, dispatcher oriole.GatewayID, reason oriole.Reason) {
 	waitCtx, cancel := context.WithTimeout(ctx, ownerWaitTimeout)
 	defer cancel()
 	for {
-		if !f.admits(r.Deadline) {
+		if !mayHaveRun && !f.admits(r.Deadline) {
 			return pool, "", oriole.ReasonDraining
 		}
 		state, updated := f.cfg.State.Watch()
--- a/pkg/oriole/oriolestop/stop.go
+++ b/pkg/oriole/oriolestop/stop.go
@@ -57,6 +57,15 @@
 	return s == nil || !deadline.After(s.AnswerUntil)
 }
 
+// Bound returns the earlier of the deadline and the end of the stop. A request that is sent
+// once more with it as its deadline has ended when the process stops.
+func (s *Schedule) Bound(deadline time.Time) time.Time {
+	if s.Admits(deadline) {
+		return deadline
+	}
+	return s.AnswerUntil
+}
+
 // Starts reports whether queued requests may still be sent to upstreams. Requests
 // that were queued before the stop may have any deadline.
 func (s *Schedule) Starts(now time.Time) bool {
--- a/pkg/oriole/oriolestop/stop_test.go
+++ b/pkg/oriole/oriolestop/stop_test.go
@@ -38,6 +38,18 @@
 	}
 }
 
+// TestBoundDeadlinesOutlastTheGracePeriod guards against a retry that runs when the process ends.
+func TestBoundDeadlinesOutlastTheGracePeriod(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	schedule := oriolestop.New(start, 6*time.Second)
+	is.Equal(schedule.Bound(start.Add(time.Second)), start.Add(time.Second))
+	is.Equal(schedule.Bound(start.Add(time.Minute)), schedule.AnswerUntil)
+	is.True(schedule.Admits(schedule.Bound(start.Add(time.Minute))))
+	var running *oriolestop.Schedule
+	is.Equal(running.Bound(start.Add(time.Minute)), start.Add(time.Minute))
+}
+
 // TestScheduleFitsGracePeriod checks the order of a stop's phases, also within a
 // short grace period.
 func TestScheduleFitsGracePeriod(t *testing.T) {
