Requests that dispatchers give back are asked of the next ones

Cause: each dispatcher that refuses a request as it is being stopped used up one of its four attempts, so that a request was refused to its caller while the next dispatchers could run it. A forwarder that was itself being stopped refused it at once as draining. Change: a refusal as not-dispatcher that names no time to ask again doesn't count as an attempt, for up to eight dispatchers; the forwarder then dispatches the request itself. The next dispatcher is asked without a pause. Refusals of cold pools name a time and count as before.

--- a/internal/oriolerouter/orioleingress/forwarder.go
+++ b/internal/oriolerouter/orioleingress/forwarder.go
@@ -146,7 +146,7 @@
 	var tried triedDispatchers
 	for attempt := 1; ; attempt++ {
 		attempts = attempt
-		pool, dispatcher, reason := f.target(ctx, r, &tried, mayHaveRun)
+		pool, dispatcher, reason := f.target(ctx, r, &tried, mayHaveRun || tried.givenBack > 0)
 		if reason != oriole.ReasonNone {
 			resp := oriole.NotRunResponse(reason)
 			resp.RetryAfter = noOwnerRetryAfter
@@ -168,7 +168,8 @@
 		resp := f.run(ctx, dispatcher, r)
 		f.logAttempt(r, dispatcher, resp, attempt)
 		mayHaveRun = mayHaveRun || resp.Outcome == oriole.OutcomeUnknown
-		if !f.shouldRetry(ctx, r, resp, attempt, maxAttempts) {
+		givenBack := tried.countGivenBack(dispatcher, resp)
+		if !f.shouldRetry(ctx, r, resp, attempt, maxAttempts, givenBack, tried.givenBack) {
 			return finalResponse(resp, mayHaveRun)
 		}
 		f.cfg.Metrics.Add("entry_again_"+resp.Reason.String(), 1)
@@ -180,7 +181,7 @@
 		case resp.Outcome != oriole.OutcomeNotRun:
 		case resp.Reason == oriole.ReasonUnreachable && tried.unreachable >= maxUnreachable:
 			f.waitForOtherUpstream(ctx, r, tried.state)
-		case resp.Reason == oriole.ReasonMoved, resp.Reason == oriole.ReasonPaused, resp.Reason == oriole.ReasonUnreachable:
+		case givenBack, resp.Reason == oriole.ReasonMoved, resp.Reason == oriole.ReasonPaused, resp.Reason == oriole.ReasonUnreachable:
 			// The next attempt goes elsewhere.
 		default:
 			f.waitForUpdate(ctx, retryPause)
@@ -192,6 +193,11 @@
 // it to be taken for lost.
 const maxUnreachable = 3
 
+// maxGivenBack is the number of dispatchers that may give a request back, as they are being
+// stopped, before this gateway dispatches it. A request that waits while all gateways are
+// stopped in turn is given back by about the logarithm of their number.
+const maxGivenBack = 8
+
 // triedDispatchers are the dispatchers that did not send a request.
 type triedDispatchers struct {
 	// pool is the pool that the request was last routed to, by state.
@@ -202,6 +208,9 @@
 	// upstream of the pool, and unreachable is the number of the latter.
 	refused     []oriole.GatewayID
 	unreachable int
+	// givenBack is the number of those that have given the request back, as they are being
+	// stopped, up to maxGivenBack. These attempts don't count towards the limits.
+	givenBack int
 	// upstreams is the hash of those that were not reached.
 	upstreams uint64
 }
@@ -215,6 +224,17 @@
 	t.pool, t.state = pool, state
 }
 
+// countGivenBack counts the response if the dispatcher has given the request back: it does
+// not dispatch the request and names no time to ask it again.
+func (t *triedDispatchers) countGivenBack(dispatcher oriole.GatewayID, resp oriole.Response) bool {
+	if resp.Outcome != oriole.OutcomeNotRun || resp.Reason != oriole.ReasonNotDispatcher || resp.RetryAfter > 0 ||
+		t.givenBack >= maxGivenBack || slices.Contains(t.refused, dispatcher) {
+		return false
+	}
+	t.givenBack++
+	return true
+}
+
 func (t *triedDispatchers) record(dispatcher oriole.GatewayID, reason oriole.Reason) {
 	switch reason {
 	case oriole.ReasonUnreachable:
@@ -324,30 +344,39 @@
 // tried an upstream.
 const maxNotRunAttempts = 4
 
-// shouldRetry reports whether to send the request again.
-func (f *Forwarder) shouldRetry(ctx context.Context, r oriole.Request, resp oriole.Response, attempt, maxAttempts int) bool {
+// shouldRetry reports whether to send the request again. givenBack tells whether the last
+// attempt ended as the dispatcher gave the request back, and allGivenBack how many did.
+func (f *Forwarder) shouldRetry(ctx context.Context, r oriole.Request, resp oriole.Response, attempt, maxAttempts int, givenBack bool, allGivenBack int) bool {
 	remaining := r.Deadline.Sub(f.cfg.Clock.Now())
 	if ctx.Err() != nil || remaining < minTimeToRetry {
 		return false
 	}
+	if resp.Outcome == oriole.OutcomeNotRun && resp.Reason == oriole.ReasonNotDispatcher {
+		return givenBack || attempt < maxNotRunAttempts
+	}
+	attempt -= allGivenBack
 	switch resp.Outcome {
 	case oriole.OutcomeAnswered:
 		return false
 	case oriole.OutcomeUnknown:
-		remaining = f.schedule.Load().Bound(r.Deadline).Sub(f.cfg.Clock.Now())
-		return r.Idempotent && attempt < maxAttempts && resp.Reason != oriole.ReasonDeadline && remaining >= minTimeToRetry && f.budget.withdraw(r.Service)
+		return r.Idempotent && attempt < maxAttempts && resp.Reason != oriole.ReasonDeadline && f.timeLeft(r) >= minTimeToRetry && f.budget.withdraw(r.Service)
 	}
 	switch resp.Reason {
 	case oriole.ReasonPaused:
 		return attempt < maxNotRunAttempts && f.hasOtherPool(r)
 	case oriole.ReasonFenced, oriole.ReasonShed, oriole.ReasonConnection:
 		return attempt < maxNotRunAttempts && f.budget.withdraw(r.Service)
-	case oriole.ReasonNotDispatcher, oriole.ReasonNoOwner, oriole.ReasonMoved, oriole.ReasonUnreachable:
+	case oriole.ReasonNoOwner, oriole.ReasonMoved, oriole.ReasonUnreachable:
 		return attempt < maxNotRunAttempts
 	}
 	return false
 }
 
+// timeLeft returns the time to the request's deadline, or to the end of this gateway's stop.
+func (f *Forwarder) timeLeft(r oriole.Request) time.Duration {
+	return f.schedule.Load().Bound(r.Deadline).Sub(f.cfg.Clock.Now())
+}
+
 // hasOtherPool reports whether another pool than the one that the request was sent to
 // may run it.
 func (f *Forwarder) hasOtherPool(r oriole.Request) bool {
@@ -391,13 +420,14 @@
 
 // target returns the pool of the request and the pool's dispatcher, or the reason
 // why there is none or the request must not be passed on. Gateways that were tried are
-// left out. It waits up to ownerWaitTimeout for an owner. A request that may have run is
-// not refused as draining: its outcome would be unknown, and the stop bounds its retry.
-func (f *Forwarder) target(ctx context.Context, r oriole.Request, tried *triedDispatchers, mayHaveRun bool) (pool oriole.PoolID, dispatcher oriole.GatewayID, reason oriole.Reason) {
+// left out. It waits up to ownerWaitTimeout for an owner. If the stop bounds the attempt,
+// it is not refused as draining: the request may have run, so that its outcome would be
+// unknown, or was given back by a dispatcher, which could have answered it.
+func (f *Forwarder) target(ctx context.Context, r oriole.Request, tried *triedDispatchers, bounded bool) (pool oriole.PoolID, dispatcher oriole.GatewayID, reason oriole.Reason) {
 	waitCtx, cancel := context.WithTimeout(ctx, ownerWaitTimeout)
 	defer cancel()
 	for {
-		if !mayHaveRun && !f.admits(r.Deadline) {
+		if !f.admits(r.Deadline) && !(bounded && f.timeLeft(r) >= minTimeToRetry) {
 			return pool, "", oriole.ReasonDraining
 		}
 		state, updated := f.cfg.State.Watch()
@@ -465,6 +495,9 @@
 // those of its zone may be cut off as well, so that others go first.
 func (f *Forwarder) dispatcherFor(state *oriole.ClusterState, pool oriole.PoolID, tried *triedDispatchers) oriole.GatewayID {
 	now := f.cfg.Clock.Now()
+	if tried.givenBack == maxGivenBack && !slices.Contains(tried.refused, f.cfg.Self.ID) {
+		return f.cfg.Self.ID
+	}
 	cutOff := tried.unreachable > 0
 	sameZone, failing := oriole.GatewayID(""), oriole.GatewayID("")
 	for _, id := range f.rankings.Ranking(pool, state.LargeBodies(pool.Service), state.LiveMembers()) {
--- a/internal/oriolerouter/orioleingress/overlap_test.go
+++ b/internal/oriolerouter/orioleingress/overlap_test.go
@@ -34,6 +34,7 @@
 		{"lost, then not run", 0, true, []oriole.Response{unknown, refused, answered}, 3, oriole.OutcomeAnswered},
 		{"given back by a dispatcher that is being stopped", 0, false, []oriole.Response{refused, answered}, 2, oriole.OutcomeAnswered},
 		{"lost, not idempotent", 0, false, []oriole.Response{unknown, answered}, 1, oriole.OutcomeUnknown},
+		{"given back at the end of the stop", grace, false, []oriole.Response{refused, answered}, 1, oriole.OutcomeNotRun},
 		{"lost at the end of the stop", grace, true, []oriole.Response{unknown, answered}, 1, oriole.OutcomeUnknown},
 	} {
 		t.Run(test.name, func(t *testing.T) {
