Queued requests that outlast a stop are given back

Cause: a dispatcher that was being stopped kept its queues, whatever the deadlines, until the end of its stop, and sent to the same upstreams as the pool's next dispatcher. Near the end it started requests that its end cut off. Change: while another gateway that isn't being stopped is alive, queued requests whose deadlines the stop does not admit are given back as not-dispatcher, from the beginning of the stop and when such a gateway appears. Without one they stay, and are given back when less time is left than the fastest upstream takes on the mean. The decision is oriolestop.Schedule.Keeps; the rest of the queue goes back as moved at the end, as before.

--- a/internal/oriolerouter/orioledispatcher/cold.go
+++ b/internal/oriolerouter/orioledispatcher/cold.go
@@ -103,6 +103,7 @@
 	}
 	for id, p := range d.pools {
 		d.updateTenure(now, id, p)
+		d.giveBack(now, p)
 		p.pool.Tick(now)
 		d.execute(ctx, id, p)
 	}
--- a/internal/oriolerouter/orioledispatcher/duty.go
+++ b/internal/oriolerouter/orioledispatcher/duty.go
@@ -122,6 +122,7 @@
 		d.noteLimit(now, e.result.to, e.result.response.Limit)
 		if p := d.pools[e.result.pool]; p != nil {
 			d.trackCrashes(ctx, now, p.jobs[e.result.job], e.result.response)
+			d.giveBack(now, p)
 			p.pool.Finish(now, e.result.job, e.result.response)
 			if e.result.response.Reason == oriole.ReasonUnreachable || e.result.response.Refused {
 				d.reportIsolated(ctx)
@@ -311,10 +312,7 @@
 	for id, p := range d.pools {
 		switch {
 		case p.pool.QueueLen() > 0:
-			if !d.dispatcher.schedule.Load().Starts(now) {
-				// They have not run, so other dispatchers may run them.
-				p.pool.Evict(func(oriole.Request) bool { return true })
-			}
+			d.giveBack(now, p)
 			p.pool.Tick(now)
 			d.execute(ctx, id, p)
 		case p.pool.Idle() && now.Sub(p.lastUsed) > poolIdleTimeout:
@@ -323,6 +321,23 @@
 	}
 }
 
+// giveBack returns queued requests to their forwarders that this gateway, which is being
+// stopped, should not send any more.
+func (d *poolDuty) giveBack(now time.Time, p *poolState) {
+	schedule := d.dispatcher.schedule.Load()
+	switch {
+	case schedule == nil:
+	case !schedule.Starts(now):
+		// They have not run, so other dispatchers may run them.
+		p.pool.Evict(func(oriole.Request) bool { return true })
+	default:
+		others := slices.ContainsFunc(d.dispatcher.cfg.State.Snapshot().LiveMembers(), func(m oriole.Member) bool { return m.ID != d.dispatcher.cfg.Self })
+		p.pool.GiveBack(func(r oriole.Request, duration time.Duration) bool {
+			return schedule.Keeps(now, r.Deadline, duration, others)
+		})
+	}
+}
+
 // reportDurations reports the mean request durations at the upstreams of
 // sharded services.
 func (d *poolDuty) reportDurations(ctx context.Context) {
--- a/pkg/oriole/oriolepool/pool.go
+++ b/pkg/oriole/oriolepool/pool.go
@@ -360,13 +360,18 @@
 // minTimeLeft returns how much time must be left before the deadline of a request
 // for it to be sent. It assumes that the fastest upstream will run it.
 func (p *Pool) minTimeLeft(*job) time.Duration {
+	return time.Duration(minDurationFraction * float64(p.shortestDuration()))
+}
+
+// shortestDuration returns the mean duration of requests to the fastest upstream.
+func (p *Pool) shortestDuration() time.Duration {
 	shortest := time.Duration(0)
 	for i, s := range p.servers {
 		if i == 0 || s.meanDuration < shortest {
 			shortest = s.meanDuration
 		}
 	}
-	return time.Duration(minDurationFraction * float64(shortest))
+	return shortest
 }
 
 func (p *Pool) refuse(j *job, reason oriole.Reason, wait time.Duration) {
@@ -432,6 +437,20 @@
 	})
 }
 
+// GiveBack refuses the queued requests that need not be kept with ReasonNotDispatcher, so
+// that their forwarders ask another dispatcher at once. keep gets the shortest expected
+// duration of a request.
+func (p *Pool) GiveBack(keep func(r oriole.Request, duration time.Duration) bool) {
+	duration := p.shortestDuration()
+	p.queue = slices.DeleteFunc(p.queue, func(j *job) bool {
+		if keep(j.request, duration) {
+			return false
+		}
+		p.effects = append(p.effects, Effect{Reply: &Reply{Job: j.id, Response: oriole.NotRunResponse(oriole.ReasonNotDispatcher)}})
+		return true
+	})
+}
+
 // refuseQueued refuses all queued requests, so that they can be sent to another gateway.
 func (p *Pool) refuseQueued(reason oriole.Reason, wait time.Duration) {
 	for _, j := range p.queue {
--- a/pkg/oriole/oriolepool/pool_test.go
+++ b/pkg/oriole/oriolepool/pool_test.go
@@ -181,6 +181,19 @@
 	is.Equal(h.responses[4].Reason, oriole.ReasonMoved)
 }
 
+// TestGiveBackIsNoPause guards against forwarders that wait before they ask another dispatcher.
+func TestGiveBackIsNoPause(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(server("a"))
+	for id := range oriolepool.JobID(4) {
+		h.arrive(0, id, int(id), 2*time.Second)
+	}
+	h.GiveBack(func(r oriole.Request, duration time.Duration) bool { return r.Priority == 2 && duration > 0 })
+	h.collect()
+	is.Equal(h.QueueLen(), 1)
+	is.Equal(h.responses, map[oriolepool.JobID]oriole.Response{3: oriole.NotRunResponse(oriole.ReasonNotDispatcher)})
+}
+
 func TestNoUpstream(t *testing.T) {
 	is := is.New(t)
 	h := newHarness()
--- a/pkg/oriole/oriolestop/stop.go
+++ b/pkg/oriole/oriolestop/stop.go
@@ -71,3 +71,11 @@
 func (s *Schedule) Starts(now time.Time) bool {
 	return s == nil || now.Before(s.AnswerUntil)
 }
+
+// Keeps reports whether a request that was queued before the stop stays in its queue. One
+// that could outlast the process is given back if another gateway can dispatch it, since
+// that one sends to the same upstreams. Otherwise it stays while it can end in time, given
+// how long it is expected to run.
+func (s *Schedule) Keeps(now, deadline time.Time, duration time.Duration, otherDispatcher bool) bool {
+	return s.Admits(deadline) || (!otherDispatcher && !now.Add(duration).After(s.AnswerUntil))
+}
--- a/pkg/oriole/oriolestop/stop_test.go
+++ b/pkg/oriole/oriolestop/stop_test.go
@@ -77,3 +77,30 @@
 	var running *oriolestop.Schedule
 	is.True(running.Starts(start))
 }
+
+// TestQueuedRequestsAreKeptBesideOtherDispatchers guards against two dispatchers of one pool, and against starting what can't end.
+func TestQueuedRequestsAreKeptBesideOtherDispatchers(t *testing.T) {
+	start := time.Unix(1000, 0)
+	schedule := oriolestop.New(start, 6*time.Second)
+	long, short, duration := start.Add(time.Minute), start.Add(time.Second), 400*time.Millisecond
+	for _, test := range []struct {
+		name     string
+		now      time.Time
+		deadline time.Time
+		other    bool
+		want     bool
+	}{
+		{"ends within the stop", start, short, true, true},
+		{"outlasts the stop", start, long, true, false},
+		{"outlasts the stop, no other dispatcher", start, long, false, true},
+		{"the last that can end", schedule.AnswerUntil.Add(-duration), long, false, true},
+		{"the first that can't", schedule.AnswerUntil.Add(-duration + 1), long, false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(schedule.Keeps(test.now, test.deadline, duration, test.other), test.want)
+			var running *oriolestop.Schedule
+			is.True(running.Keeps(test.now, test.deadline, duration, test.other))
+		})
+	}
+}
