What is sent during a stop ends within it

Cause: a dispatcher that was being stopped sent queued requests with deadlines after its end. Upstreams went on with them when its links were cut, and their forwarders learned of it by a lost link. Change: such a request is sent with the end of the stop as its deadline. If that passes, it ends as unknown, cancelled, so that a forwarder that has time left tries an idempotent one again; as not-dispatcher if it was not sent. Requests sent before the stop are not changed.

--- a/internal/oriolerouter/orioledispatcher/dispatcher.go
+++ b/internal/oriolerouter/orioledispatcher/dispatcher.go
@@ -266,7 +266,7 @@
 			// leaves: the caller asked for its effect.
 			stop = context.AfterFunc(s.pending.ctx, cancel)
 		}
-		response := disp.cfg.Sender.Send(sendCtx, s.To, s.Request)
+		response := disp.send(sendCtx, s.To, s.Request)
 		stop()
 		cancel()
 		if err := disp.events.Put(ctx, event{result: &result{s.pool, s.Job, s.To.Incarnation(), response}}); err != nil {
@@ -274,3 +274,19 @@
 		}
 	}
 }
+
+// send sends the request. If the gateway is being stopped, the request ends before the
+// gateway does. The forwarder of one that would have had more time may try again.
+func (disp *Dispatcher) send(ctx context.Context, to oriole.Upstream, r oriole.Request) oriole.Response {
+	deadline := r.Deadline
+	r.Deadline = disp.schedule.Load().Bound(deadline)
+	response := disp.cfg.Sender.Send(ctx, to, r)
+	if r.Deadline.Equal(deadline) || response.Reason != oriole.ReasonDeadline {
+		return response
+	}
+	response.Reason = oriole.ReasonCancelled
+	if response.Outcome == oriole.OutcomeNotRun {
+		response.Reason = oriole.ReasonNotDispatcher
+	}
+	return response
+}
