--- a/internal/oriolerouter/orioleingress/idleclose_test.go
+++ b/internal/oriolerouter/orioleingress/idleclose_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 	"golang.org/x/sys/unix"
 
+	"github.com/orioleswitch/orioleswitch/internal/oriolesocket"
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleclients"
 )
@@ -248,7 +249,7 @@
 	t.Helper()
 	text := getText("/late")
 	client.send(t, text)
-	eventually(t, "the request has arrived", func() bool { return socketBytes(conn, unix.SIOCINQ) == int64(len(text)) })
+	eventually(t, "the request has arrived", func() bool { return oriolesocket.Unread(conn) == int64(len(text)) })
 }
 
 // TestRequestInSocketOfIdleConnectionIsServed guards against closing a connection as idle
@@ -566,7 +567,7 @@
 			// More than net/http and the gateway buffer.
 			_, err = io.WriteString(client, strings.Repeat(getText("/next"), 2000))
 			is.NoErr(err)
-			eventually(t, "requests wait in the socket", func() bool { return socketBytes(conn, unix.SIOCINQ) > 0 })
+			eventually(t, "requests wait in the socket", func() bool { return oriolesocket.Unread(conn) > 0 })
 			close(arrived)
 			eventually(t, "the response has ended", func() bool {
 				return len(halfClosed) > 0 || server.listener.connCount() == 0
--- a/internal/oriolerouter/orioleingress/listener.go
+++ b/internal/oriolerouter/orioleingress/listener.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/orioleswitch/orioleswitch/internal/oriolesocket"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleclients"
 )
 
@@ -249,7 +250,7 @@
 	if c.idleSince.IsZero() || c.received {
 		return false
 	}
-	if socketBytes(c.Conn, unix.SIOCINQ) == 0 {
+	if oriolesocket.Unread(c.Conn) == 0 {
 		if conn, ok := c.Conn.(closeWriter); ok {
 			// An error means that the connection is closed.
 			_ = conn.CloseWrite()
--- a/pkg/oriole/oriolestop/stop.go
+++ b/pkg/oriole/oriolestop/stop.go
@@ -58,8 +58,25 @@
 	return s == nil || !deadline.After(s.AnswerUntil)
 }
 
+// Bound returns the earlier of the deadline and the end of the stop. A request that is sent
+// once more with it as its deadline has ended when the process stops.
+func (s *Schedule) Bound(deadline time.Time) time.Time {
+	if s.Admits(deadline) {
+		return deadline
+	}
+	return s.AnswerUntil
+}
+
 // Starts reports whether queued requests may still be sent to upstreams. Requests
 // that were queued before the stop may have any deadline.
 func (s *Schedule) Starts(now time.Time) bool {
 	return s == nil || now.Before(s.AnswerUntil)
 }
+
+// Keeps reports whether a request that was queued before the stop stays in its queue. One
+// that could outlast the process is given back if another gateway can dispatch it, since
+// that one sends to the same upstreams. Otherwise it stays while it can end in time, given
+// how long it is expected to run.
+func (s *Schedule) Keeps(now, deadline time.Time, duration time.Duration, otherDispatcher bool) bool {
+	return s.Admits(deadline) || (!otherDispatcher && !now.Add(duration).After(s.AnswerUntil))
+}
