--- a/internal/oriolerouter/oriolelink/links_test.go
+++ b/internal/oriolerouter/oriolelink/links_test.go
@@ -16,6 +16,7 @@
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleliveness"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolestop"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
 )
@@ -306,6 +307,54 @@
 	is.NoErr(<-finished)
 }
 
+// TestFinishWaitsForResponsesOnTheirWay guards against an exit of the process while a
+// response is on its way to a peer that takes longer to read it than closeTimeout, as one
+// behind a slow network does: the peer's next frame would reset the connection.
+func TestFinishWaitsForResponsesOnTheirWay(t *testing.T) {
+	is := is.New(t)
+	links, member, receiver := startLinks(t, "dispatcher.1")
+	conn := dialRaw(t, member, "forwarder.1")
+	writeRequest(t, conn)
+	reply := <-receiver.replies
+	// The response fits into the buffers of the connection.
+	reply(oriole.Response{Outcome: oriole.OutcomeAnswered, Status: 200, Body: make([]byte, 32<<10)})
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	finished := make(chan error, 1)
+	go func() { finished <- links.Finish(ctx) }()
+	select {
+	case <-finished:
+		t.Fatal("the process may exit while a response is on its way")
+	case <-time.After(2 * closeTimeout):
+	}
+	answered := false
+	var err error
+	for err == nil {
+		var frame oriolemessage.Frame
+		frame, err = readRaw(ctx, conn)
+		answered = answered || frame.Response != nil
+	}
+	is.True(answered)
+	is.Equal(websocket.CloseStatus(err), websocket.StatusGoingAway)
+	is.NoErr(<-finished)
+}
+
+// TestFinishGivesUpOnSilentPeers guards against a stop that waits until its end for peers
+// that have failed.
+func TestFinishGivesUpOnSilentPeers(t *testing.T) {
+	is := is.New(t)
+	links, member, receiver := startLinks(t, "dispatcher.1")
+	conn := dialRaw(t, member, "forwarder.1")
+	writeRequest(t, conn)
+	(<-receiver.replies)(oriole.Response{Outcome: oriole.OutcomeAnswered, Status: 200})
+	time.Sleep(orioleliveness.SilenceTimeout + 100*time.Millisecond) // the peer sends nothing
+	begin := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	is.NoErr(links.Finish(ctx))
+	is.True(time.Since(begin) < 10*closeTimeout)
+}
+
 // writeRequest forwards a request over the connection.
 func writeRequest(t *testing.T, conn *websocket.Conn) {
 	t.Helper()
