A dispatcher that stops waits for peers to read its responses

Cause: Finish closes links with a handshake, by which peers confirm that they have read all responses, but waited 300 ms at most. On a narrow link a response may be longer on its way. The process exits then, the peer's next heartbeat resets the connection, and the rest of the response is lost.

--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -357,26 +357,30 @@
 const (
 	// finishInterval is how often Finish checks for responses that are not written.
 	finishInterval = 20 * time.Millisecond
-	// closeTimeout bounds the wait for peers to confirm that they have read
-	// everything: many round trips between zones.
+	// closeTimeout bounds the wait for peers that may have failed to confirm that they
+	// have read everything: many round trips between zones.
 	closeTimeout = 300 * time.Millisecond
 )
 
 // Finish waits until the responses to all requests of peers were handed to their
 // connections, or the connections have ended. It then closes these connections
 // with a handshake: a process that exits resets a connection with unread frames,
-// and the peer could lose a response. The last oriolestop.CloseTimeout before ctx's
-// deadline is left for the handshake; requests not answered by then are an error.
+// and the peer could lose a response. Peers that are alive have until ctx is done for
+// it, as a slow network may hold a response. The last oriolestop.CloseTimeout before
+// ctx's deadline is left for the handshake; requests not answered by then are an error.
 func (p *Links) Finish(ctx context.Context) error {
 	err := p.awaitResponses(ctx)
-	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	short, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
-	for _, closed := range p.closeAccepted() {
+	for _, l := range p.closeAccepted() {
+		wait := short
+		if l.alive {
+			wait = ctx
+		}
 		select {
-		case <-closed:
-		case <-ctx.Done():
-			// The responses were handed to the connections.
-			return err
+		case <-l.closed:
+		case <-wait.Done():
+			// The responses were handed to the connection.
 		}
 	}
 	return err
@@ -400,21 +404,29 @@
 	return nil
 }
 
-// closeAccepted closes the links that peers have opened, and returns a channel for
-// each that is closed once the peer has confirmed it.
-func (p *Links) closeAccepted() (closed []<-chan struct{}) {
+// closingLink is a link that is being closed.
+type closingLink struct {
+	// closed is closed once the peer has confirmed the close.
+	closed <-chan struct{}
+	// alive is whether the peer was alive when the close began.
+	alive bool
+}
+
+// closeAccepted closes the links that peers have opened.
+func (p *Links) closeAccepted() (closing []closingLink) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := p.cfg.Timers.Now()
 	for l := range p.accepted {
 		done := make(chan struct{})
-		closed = append(closed, done)
+		closing = append(closing, closingLink{done, p.liveness.HeardRecently(now, l.peer) || p.liveness.Alive(l.peer)})
 		go func() {
 			defer close(done)
 			// An error means that the link has ended.
 			_ = l.conn.Close(websocket.StatusGoingAway, "")
 		}()
 	}
-	return closed
+	return closing
 }
 
 // unanswered returns the number of requests of peers whose responses have not been
