--- a/internal/oriolerouter/orioleingress/idleclose_test.go
+++ b/internal/oriolerouter/orioleingress/idleclose_test.go
@@ -271,6 +271,7 @@
 			{"planned stop, used", true, nil},
 			{"idle timeout, new", false, idleTimeout},
 			{"idle timeout, used", true, idleTimeout},
+			{"closed for others, new", false, evict},
 			{"closed for others, used", true, evict},
 		} {
 			t.Run(fmt.Sprintf("%s, pipelining %v", test.name, pipelining), func(t *testing.T) {
