New connections with a request in the socket are not closed for others

Cause: evict closes a new connection at once. One of which nothing was read counts as stalled after a fifth of the stall timeout, 200 ms, also if the process has had no time to read the request that waits in its socket; the kernel then resets it. Change: evict ends the read of such a connection, as it does for a used one, and the reader decides. Connections that have sent a part of a header are still closed at once.

--- a/internal/oriolerouter/orioleingress/guard.go
+++ b/internal/oriolerouter/orioleingress/guard.go
@@ -356,11 +356,11 @@
 }
 
 // evict closes the connection in favor of others. A connection on which a request may just
-// have arrived is closed as an idle one is.
+// have arrived is closed as an idle one is, also a new one if nothing was read from it: the
+// process may not have had the time.
 func (c *trackedConn) evict() {
 	c.guard.report(eventClosed)
-	if c.servedBefore.Load() && c.isIdle() {
-		c.closeIdle()
+	if c.endIdle() || c.servedBefore.Load() && c.isIdle() {
 		return
 	}
 	if c.ahead != nil {
--- a/internal/oriolerouter/orioleingress/listener.go
+++ b/internal/oriolerouter/orioleingress/listener.go
@@ -294,13 +294,17 @@
 // been idle for minIdleBeforeClose and nothing was read. It doesn't close the
 // connection itself: bytes may just have been read, or wait in the socket, which
 // must be answered. The reader decides.
-func (c *trackedConn) closeIdle() {
+func (c *trackedConn) closeIdle() { _ = c.endIdle() }
+
+// endIdle does what closeIdle does, and reports whether it has ended reads.
+func (c *trackedConn) endIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idleSince.IsZero() || time.Since(c.idleSince) < minIdleBeforeClose || c.received {
-		return
+		return false
 	}
 	c.closing = true
 	// An error means that the connection is closed.
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	return true
 }
