Comment tells why an idle connection is half closed

Cause: the comment named the effect only. Change: a comment. Result: TestRequestInSocketOfIdleConnectionIsServed, TestRequestInSocketAtHeaderTimeoutIsServed and TestIdleConnectionEndsWhenFoundEmpty pass.

--- a/internal/oriolerouter/orioleingress/listener.go
+++ b/internal/oriolerouter/orioleingress/listener.go
@@ -241,8 +241,9 @@
 }
 
 // requestWaits reports whether bytes wait in the socket of a connection that a deadline has
-// found idle, so that it must not be closed. Otherwise it ends the connection in the
-// direction of the client, which must not send a request until net/http closes it.
+// found idle, so that it must not be closed. Otherwise it closes the sending direction, so
+// that the client learns of the end at once: a process that lacks the processor may take
+// long until net/http closes the connection.
 func (c *trackedConn) requestWaits() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
