--- a/internal/oriolerouter/orioleingress/listener.go
+++ b/internal/oriolerouter/orioleingress/listener.go
@@ -242,8 +242,9 @@
 }
 
 // requestWaits reports whether bytes wait in the socket of a connection that a deadline has
-// found idle, so that it must not be closed. Otherwise it ends the connection in the
-// direction of the client, which must not send a request until net/http closes it.
+// found idle, so that it must not be closed. Otherwise it closes the sending direction, so
+// that the client learns of the end at once: a process that lacks the processor may take
+// long until net/http closes the connection.
 func (c *trackedConn) requestWaits() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -295,13 +296,17 @@
 // been idle for minIdleBeforeClose and nothing was read. It doesn't close the
 // connection itself: bytes may just have been read, or wait in the socket, which
 // must be answered. The reader decides.
-func (c *trackedConn) closeIdle() {
+func (c *trackedConn) closeIdle() { _ = c.endIdle() }
+
+// endIdle does what closeIdle does, and reports whether it has ended reads.
+func (c *trackedConn) endIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idleSince.IsZero() || time.Since(c.idleSince) < minIdleBeforeClose || c.received {
-		return
+		return false
 	}
 	c.closing = true
 	// An error means that the connection is closed.
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	return true
 }
