Tests of links whose bytes flow slowly

Cause: a link ends when one frame takes longer than writeTimeout (1 s) to write, and a peer of which no whole frame has arrived for 1.1 s counts as unresponsive and lost, although its bytes flow (docs/incidents/lost-overlapping-stops.md, hypothesis 1). Change: tests only, over a relay of 96 KiB/s with small socket buffers: a frame of 256 KiB takes 2.7 s.

--- /dev/null
+++ b/internal/oriolerouter/oriolelink/relay_test.go
@@ -0,0 +1,140 @@
+package oriolelink
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"syscall"
+	"testing"
+
+	"golang.org/x/sys/unix"
+	"golang.org/x/time/rate"
+)
+
+const (
+	// relayRate is the rate of a relay in bytes a second: a frame of partSize takes
+	// about 2.7 s.
+	relayRate = 96 << 10
+	// relayBuffer is the size of the buffers of a relay's sockets, and sendBuffer that of
+	// the send buffers of gateways that are connected to it, well below partSize. Segments
+	// are smaller than both.
+	relayBuffer  = 8 << 10
+	sendBuffer   = 16 << 10
+	relaySegment = 1400
+	relayChunk   = 2 << 10
+)
+
+// relay is a TCP relay that passes bytes on at relayRate in each direction.
+type relay struct {
+	addr   netip.AddrPort
+	target netip.AddrPort
+	dialer net.Dialer
+	// stopped is closed once nothing is passed on any more.
+	stopped chan struct{}
+}
+
+// startRelay starts a relay to the target.
+func startRelay(t *testing.T, target netip.AddrPort) *relay {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	shrinkSendBuffers(target) // accepted connections inherit it
+	listener, err := (&net.ListenConfig{Control: shrinkBuffers}).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		_ = listener.Close()
+	})
+	r := &relay{
+		addr: netip.MustParseAddrPort(listener.Addr().String()), target: target,
+		dialer: net.Dialer{Control: shrinkBuffers}, stopped: make(chan struct{}),
+	}
+	go func() {
+		for {
+			client, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			shrinkSendBuffers(netip.MustParseAddrPort(client.RemoteAddr().String()))
+			go r.serve(ctx, client)
+		}
+	}()
+	return r
+}
+
+// stop stops passing bytes on. The connections stay open.
+func (r *relay) stop() { close(r.stopped) }
+
+func (r *relay) serve(ctx context.Context, client net.Conn) {
+	server, err := r.dialer.DialContext(ctx, "tcp", r.target.String())
+	if err != nil {
+		_ = client.Close()
+		return
+	}
+	closeBoth := func() {
+		_ = client.Close()
+		_ = server.Close()
+	}
+	context.AfterFunc(ctx, closeBoth)
+	for _, pair := range [][2]net.Conn{{client, server}, {server, client}} {
+		go func() {
+			defer closeBoth()
+			r.pass(ctx, pair[0], pair[1])
+		}()
+	}
+}
+
+// pass passes bytes on until a connection ends.
+func (r *relay) pass(ctx context.Context, from, to net.Conn) {
+	limiter := rate.NewLimiter(relayRate, relayChunk)
+	buf := make([]byte, relayChunk)
+	for {
+		n, err := from.Read(buf)
+		if err != nil || limiter.WaitN(ctx, n) != nil {
+			return
+		}
+		select {
+		case <-r.stopped:
+			<-ctx.Done()
+			return
+		default:
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// shrinkSendBuffers limits the send buffers of this process's sockets with the local
+// address. The sockets of gateways are not accessible otherwise.
+func shrinkSendBuffers(addr netip.AddrPort) {
+	const maxDescriptor = 1 << 10
+	for fd := range maxDescriptor {
+		local, err := unix.Getsockname(fd)
+		inet, ok := local.(*unix.SockaddrInet4)
+		if err == nil && ok && netip.AddrPortFrom(netip.AddrFrom4(inet.Addr), uint16(inet.Port)) == addr {
+			// An error means that the socket was closed.
+			_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
+		}
+	}
+}
+
+// shrinkBuffers limits the buffers and segments of a relay's socket.
+func shrinkBuffers(_, _ string, conn syscall.RawConn) (err error) {
+	controlErr := conn.Control(func(fd uintptr) {
+		for _, option := range []struct{ level, name, value int }{
+			{unix.SOL_SOCKET, unix.SO_RCVBUF, relayBuffer},
+			{unix.SOL_SOCKET, unix.SO_SNDBUF, relayBuffer},
+			{unix.IPPROTO_TCP, unix.TCP_MAXSEG, relaySegment},
+		} {
+			if err == nil {
+				err = unix.SetsockoptInt(int(fd), option.level, option.name, option.value)
+			}
+		}
+	})
+	if err == nil {
+		err = controlErr
+	}
+	return err
+}
