Package for the queues of sockets

Cause: links need the measure by which orioleingress tells slow readers from stuck ones, and can't import that package. Change: unsentBytes and socketBytes become oriolesocket.Unsent and Unread. No logic changes.

--- a/internal/oriolerouter/orioleingress/guard.go
+++ b/internal/oriolerouter/orioleingress/guard.go
@@ -8,15 +8,14 @@
 	"os"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 	"golang.org/x/time/rate"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolerouter/oriolelog"
+	"github.com/orioleswitch/orioleswitch/internal/oriolesocket"
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleclients"
@@ -269,11 +268,11 @@
 		case !measured && err == nil:
 			moved += int64(n)
 		case !measured:
-			measured, queued, movedAt = true, unsentBytes(c.Conn), now
+			measured, queued, movedAt = true, oriolesocket.Unsent(c.Conn), now
 		default:
 			// The system takes more only once much of its buffer is free: a client that
 			// reads steadily takes bytes for seconds before it does.
-			left := unsentBytes(c.Conn)
+			left := oriolesocket.Unsent(c.Conn)
 			moved += max(int64(n)+queued-left, 0)
 			queued = left
 		}
@@ -289,30 +288,6 @@
 	return written, c.Conn.SetWriteDeadline(time.Time{})
 }
 
-// unsentBytes returns the number of bytes that were written to the connection and have not
-// been acknowledged by the client, or 0 if that is not known.
-func unsentBytes(conn net.Conn) int64 { return socketBytes(conn, unix.SIOCOUTQ) }
-
-// socketBytes returns the number of bytes in a queue of the connection's socket, or 0 if that
-// is not known. The queue is SIOCINQ or SIOCOUTQ.
-func socketBytes(conn net.Conn, queue uint) (n int64) {
-	raw, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	control, err := raw.SyscallConn()
-	if err != nil {
-		return 0
-	}
-	// An error means that the connection is closed.
-	_ = control.Control(func(fd uintptr) {
-		if queued, err := unix.IoctlGetInt(int(fd), queue); err == nil {
-			n = int64(queued)
-		}
-	})
-	return n
-}
-
 // SetReadDeadline implements net.Conn. While a header section is read, a deadline is the
 // one of the header section: net/http has one for all servers.
 func (c *trackedConn) SetReadDeadline(t time.Time) error {
@@ -330,7 +305,7 @@
 func (c *trackedConn) Close() error {
 	defer c.holder.Remove()
 	if c.guard != nil {
-		if unread := socketBytes(c.Conn, unix.SIOCINQ); unread > 0 {
+		if unread := oriolesocket.Unread(c.Conn); unread > 0 {
 			c.guard.reportUnread(c, unread)
 		}
 	}
