Links end for slowness only when their peer takes nothing

Cause: a link ended when one frame took longer than writeTimeout (1 s) to write. Change: the heartbeat duty looks each 0.2 s at how much of what was written the peer has acknowledged: bytes handed to the socket less SIOCOUTQ. The write of a frame fails once nothing was acknowledged for writeTimeout. Both sides wrap the raw connection, the dialing one in the transport's DialContext, the accepting one in Hijack.

--- a/internal/oriolerouter/orioleingress/listener.go
+++ b/internal/oriolerouter/orioleingress/listener.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleclients"
@@ -153,6 +154,9 @@
 	timer     *time.Timer
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *trackedConn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
+
 // Read implements net.Conn. It refuses header sections beyond the guard's limits.
 func (c *trackedConn) Read(data []byte) (int, error) {
 	n, err := c.read(data)
--- a/internal/oriolerouter/orioleingress/pipelineconn.go
+++ b/internal/oriolerouter/orioleingress/pipelineconn.go
@@ -485,8 +485,11 @@
 }
 
 // SyscallConn implements syscall.Conn.
-func (c *pipelinedConn) SyscallConn() (syscall.RawConn, error) {
-	if conn, ok := c.Conn.(syscall.Conn); ok {
+func (c *pipelinedConn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
+
+// rawConn returns the connection's access to its descriptor.
+func rawConn(conn net.Conn) (syscall.RawConn, error) {
+	if conn, ok := conn.(syscall.Conn); ok {
 		return conn.SyscallConn()
 	}
 	return nil, errors.New("connection has no descriptor")
--- a/internal/oriolerouter/oriolelink/fullring_test.go
+++ b/internal/oriolerouter/oriolelink/fullring_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
+	"github.com/orioleswitch/orioleswitch/internal/oriolesocket"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 )
 
@@ -17,7 +18,7 @@
 func replyToFullRing(t *testing.T, links *Links, receiver frameReceiver, body []byte) (l *link) {
 	t.Helper()
 	is := is.New(t)
-	l = newLink("forwarder.1", dialRaw(t, links.cfg.Self, "forwarder.1"), nil, nil)
+	l = newLink("forwarder.1", dialRaw(t, links.cfg.Self, "forwarder.1"), new(oriolesocket.Conn), nil, nil)
 	request := oriole.Request{ID: "r", Pool: oriole.PoolID{Service: "s"}, Method: "POST", Deadline: time.Now().Add(time.Minute)}
 	links.handle(context.Background(), l, &oriolemessage.Frame{Request: oriolemessage.FromRequest(1, request, time.Now())}, 0)
 	reply := <-receiver.replies
--- a/internal/oriolerouter/oriolelink/heartbeat.go
+++ b/internal/oriolerouter/oriolelink/heartbeat.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -23,7 +24,8 @@
 	idleHeartbeatInterval = 5 * time.Second
 )
 
-// heartbeatDuty sends heartbeats to peers, and detects unresponsive peers.
+// heartbeatDuty sends heartbeats to peers, and detects unresponsive peers and links that
+// are stuck.
 type heartbeatDuty struct{ links *Links }
 
 func (d *heartbeatDuty) String() string { return "pulse" }
@@ -43,6 +45,9 @@
 			return ctx.Err()
 		}
 		now := p.cfg.Timers.Now()
+		for _, l := range p.openLinks() {
+			l.observe(now)
+		}
 		next, nextUnheard, heartbeat := p.tick(now)
 		p.sendHeartbeats(now, heartbeat, last == nil || hasChanged(*last, *heartbeat))
 		last = heartbeat
@@ -98,6 +103,13 @@
 	return &oriolemessage.Frame{Heartbeat: heartbeat, SentAt: oriolemessage.FromSentAt(p.cfg.BootClock.Now())}
 }
 
+// openLinks returns all links.
+func (p *Links) openLinks() []*link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.AppendSeq(slices.Collect(maps.Values(p.links)), maps.Keys(p.accepted))
+}
+
 func (p *Links) shouldHeartbeat(peer oriole.GatewayID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -12,6 +12,7 @@
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
 	"github.com/orioleswitch/orioleswitch/internal/oriolerouter/oriolelog"
+	"github.com/orioleswitch/orioleswitch/internal/oriolesocket"
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleliveness"
@@ -22,7 +23,8 @@
 const (
 	// ringSize bounds the frames queued for a link.
 	ringSize = 256
-	// writeTimeout bounds the time to write one frame to the connection.
+	// writeTimeout is how long a peer may take nothing while a frame is written to it. A
+	// frame may take longer: the bandwidth is shared by many links.
 	writeTimeout = time.Second
 )
 
@@ -52,6 +54,8 @@
 	// dialed is set if this gateway has opened the link.
 	dialed bool
 	conn   *websocket.Conn
+	// socket is the connection below conn.
+	socket *oriolesocket.Conn
 	out    *oriolering.Ring[*outgoing]
 	// queued bounds the bodies of the frames in out.
 	queued queuedBytes
@@ -61,6 +65,9 @@
 	// one was received, in Unix nanoseconds.
 	lastWrite atomic.Int64
 	lastRead  atomic.Int64
+	// writingSince is when the frame that is being written was begun, in Unix
+	// nanoseconds, or 0.
+	writingSince atomic.Int64
 
 	// transit measures the delay of the peer's frames. Only the reader uses it.
 	transit transit
@@ -80,6 +87,10 @@
 	// their total size.
 	partials      map[uint64]*partialBody
 	bufferedBytes int
+	// acknowledged is how many bytes the peer had acknowledged when this was last
+	// observed, and acknowledgedAt when the number was last seen to grow.
+	acknowledged   int64
+	acknowledgedAt time.Time
 }
 
 // pendingRequest is a forwarded request that is not answered yet.
@@ -91,13 +102,14 @@
 	response  chan oriole.Response
 }
 
-func newLink(peer oriole.GatewayID, conn *websocket.Conn, memory, queueMemory *oriolememory.Pool) *link {
+func newLink(peer oriole.GatewayID, conn *websocket.Conn, socket *oriolesocket.Conn, memory, queueMemory *oriolememory.Pool) *link {
 	conn.SetReadLimit(oriolemessage.MaxFrameSize)
 	hold, _ := queueMemory.Hold(string(peer))
 	return &link{
 		queued:   queuedBytes{hold: hold},
 		peer:     peer,
 		conn:     conn,
+		socket:   socket,
 		memory:   memory,
 		out:      oriolering.New[*outgoing](ringSize),
 		pending:  make(map[uint64]*pendingRequest),
@@ -189,12 +201,37 @@
 	if frame.Request != nil && !l.markWritten(frame.Request.Number) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
 	p.cfg.Metrics.Add("link_bytes_out", int64(len(data)))
 	p.cfg.Metrics.Add("link_bytes_"+frame.Kind(), int64(len(data)))
-	l.lastWrite.Store(time.Now().UnixNano())
-	return l.conn.Write(ctx, websocket.MessageBinary, data)
+	now := p.cfg.Timers.Now().UnixNano()
+	l.lastWrite.Store(now)
+	l.writingSince.Store(now)
+	defer l.writingSince.Store(0)
+	if err := l.conn.Write(ctx, websocket.MessageBinary, data); err != nil {
+		return errors.Wrapf(err, "%d bytes not acknowledged", oriolesocket.Unsent(l.socket.Conn))
+	}
+	return nil
+}
+
+// observe records how much of what was written the peer has acknowledged. If it has
+// acknowledged nothing for writeTimeout while a frame was being written, the write fails
+// and the link ends. Bytes that the system holds while no frame waits are left to TCP,
+// which sends them again for longer.
+func (l *link) observe(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	acknowledged := l.socket.Acknowledged()
+	if acknowledged > l.acknowledged {
+		l.acknowledgedAt = now
+	}
+	// It may be lower than before while a write waits.
+	l.acknowledged = acknowledged
+	since := l.writingSince.Load()
+	if since == 0 || now.Sub(time.Unix(0, since)) < writeTimeout || now.Sub(l.acknowledgedAt) < writeTimeout {
+		return
+	}
+	// An error means that the connection is closed.
+	_ = l.socket.SetWriteDeadline(now)
 }
 
 // markWritten records that the peer may receive the request from now on. It
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -16,6 +17,7 @@
 
 	"github.com/orioleswitch/orioleswitch/internal/orioleauth"
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
+	"github.com/orioleswitch/orioleswitch/internal/oriolesocket"
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
 	"github.com/orioleswitch/orioleswitch/internal/orioleupstream"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
@@ -217,7 +219,8 @@
 		w.WriteHeader(http.StatusUnauthorized)
 		return
 	}
-	conn, err := websocket.Accept(w, r, nil)
+	hijacked := &hijackWriter{ResponseWriter: w, clock: p.cfg.Timers}
+	conn, err := websocket.Accept(hijacked, r, nil)
 	if err != nil {
 		return
 	}
@@ -239,7 +242,7 @@
 	p.cfg.Receiver.HandlePeer(ctx, member)
 	// This link carries the peer's requests and the responses to them. This
 	// gateway's own requests go over the link that it dials itself.
-	l := newLink(member.ID, conn, p.cfg.Memory, p.cfg.QueueMemory)
+	l := newLink(member.ID, conn, hijacked.socket, p.cfg.Memory, p.cfg.QueueMemory)
 	// The peer may send requests at once, unless it learns of a drain.
 	_, _, heartbeat := p.tick(p.cfg.Timers.Now())
 	l.out.Offer(&outgoing{frame: p.heartbeatFrame(heartbeat)})
@@ -343,8 +346,8 @@
 		return
 	}
 	p.cfg.Metrics.Add("link_ring_full", 1)
-	// The caller is a duty that must not block. The wait is short: each write
-	// makes room, or ends the link after writeTimeout.
+	// The caller is a duty that must not block. Each write makes room, or ends the link
+	// once the peer has taken nothing for writeTimeout.
 	go func() {
 		defer l.stopServing(forwarded.Number)
 		if err := l.putAll(ctx, rest); err != nil {
@@ -465,7 +468,17 @@
 	p := d.links
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	client := &http.Client{Transport: &http.Transport{DialContext: orioleupstream.NewDialer().DialContext}}
+	// The transport dials one connection for the request.
+	sockets := make(chan *oriolesocket.Conn, 1)
+	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := orioleupstream.NewDialer().DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		socket := oriolesocket.NewConn(conn, p.cfg.Timers)
+		sockets <- socket
+		return socket, nil
+	}}}
 	conn, _, err := websocket.Dial(dialCtx, "ws://"+d.to.PeerAddr.String()+Path, &websocket.DialOptions{
 		HTTPClient: client, HTTPHeader: orioleauth.BearerHeader(p.cfg.Secret),
 	})
@@ -473,7 +486,7 @@
 		p.cfg.Metrics.Add("link_dials_failed", 1)
 		return false
 	}
-	l := newLink(d.to.ID, conn, p.cfg.Memory, p.cfg.QueueMemory)
+	l := newLink(d.to.ID, conn, <-sockets, p.cfg.Memory, p.cfg.QueueMemory)
 	l.dialed = true
 	self, heartbeat := p.cfg.Self, p.cfg.Receiver.Heartbeat()
 	self.Draining = heartbeat.Draining
--- a/internal/oriolerouter/oriolelink/notrun_test.go
+++ b/internal/oriolerouter/oriolelink/notrun_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
+	"github.com/orioleswitch/orioleswitch/internal/oriolesocket"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 )
 
@@ -34,7 +35,7 @@
 			conn, _, err := websocket.Dial(context.Background(), "ws://"+member.PeerAddr.String()+Path, nil)
 			is.NoErr(err)
 			defer func() { _ = conn.CloseNow() }()
-			l := newLink("vm.1", conn, nil, nil)
+			l := newLink("vm.1", conn, new(oriolesocket.Conn), nil, nil)
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			responses := make(chan oriole.Response, 1)
--- a/internal/oriolerouter/oriolelink/part.go
+++ b/internal/oriolerouter/oriolelink/part.go
@@ -12,16 +12,15 @@
 const (
 	// partSize bounds the body bytes in one frame, so that other frames can be
 	// sent in between. On the slowest link of the known deployments a part takes
-	// a fifth of a second.
+	// a fifth of a second, and longer while other links use the bandwidth.
 	partSize = 256 << 10
 	// maxBodySize bounds the total size of the bodies that a link buffers while
 	// it receives them in parts. It equals the maximum size of an upstream's
 	// response body.
 	maxBodySize = 8 << 20
-	// maxPartialAge is the longest time in which the parts of a body of
-	// maxBodySize are written: each within writeTimeout, or the link ends. Other
-	// frames in between are not counted.
-	maxPartialAge = maxBodySize / partSize * writeTimeout
+	// maxPartialAge is how long an incomplete body is kept. Nobody waits for it any
+	// longer: frames of requests are not under way for longer than maxTransit.
+	maxPartialAge = maxTransit
 )
 
 // splitBody returns frames with all parts of a body but the last, and the last
--- a/internal/oriolerouter/oriolelink/queue_test.go
+++ b/internal/oriolerouter/oriolelink/queue_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
+	"github.com/orioleswitch/orioleswitch/internal/oriolesocket"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
 )
@@ -19,7 +20,7 @@
 	is := is.New(t)
 	links, _, receiver := startLinks(t, "dispatcher.1")
 	pool := oriolememory.NewPool(4<<20, 1<<20)
-	l := newLink("forwarder.1", dialRaw(t, links.cfg.Self, "forwarder.1"), nil, pool)
+	l := newLink("forwarder.1", dialRaw(t, links.cfg.Self, "forwarder.1"), new(oriolesocket.Conn), nil, pool)
 	perOwner := int64(4<<20) / 3
 	// Nothing writes the link: requests wait until their callers leave.
 	ctx, cancel := context.WithCancel(context.Background())
