Peers are heard by their bytes, not by whole frames

Cause: a peer of which no whole frame had arrived for 1.1 s counted as unresponsive and as lost, although bytes of a large frame kept arriving, and its heartbeats waited behind that frame: idempotent requests were given up, and monitors reported it as unreachable. Change: the time of the last read of the connection counts, for unresponsive and in each tick for the failure detector, which keeps the latest time of all links with a peer.

--- a/internal/oriolerouter/oriolelink/heartbeat.go
+++ b/internal/oriolerouter/oriolelink/heartbeat.go
@@ -12,6 +12,7 @@
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
 	"github.com/orioleswitch/orioleswitch/internal/oriolerouter/oriolelog"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleliveness"
 )
 
 const (
@@ -72,12 +73,30 @@
 	heartbeat = p.cfg.Receiver.Heartbeat()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.recordReads(now)
 	alive = p.liveness.Tick(now)
 	monitor, unreachable := p.liveness.Report(now)
 	heartbeat.Monitor, heartbeat.Unreachable = monitor, oriolemessage.FromGatewayIDs(unreachable)
 	return alive, p.liveness.Unheard(now), heartbeat
 }
 
+// recordReads records the peers whose bytes have arrived recently: a large frame may take
+// longer than the silence timeout to arrive, and heartbeats wait behind it. p.mu must be
+// held.
+func (p *Links) recordReads(now time.Time) {
+	record := func(l *link) {
+		if at := l.socket.ReadAt(); now.Sub(at) <= orioleliveness.SilenceTimeout {
+			p.liveness.RecordFrame(at, l.peer)
+		}
+	}
+	for _, l := range p.links {
+		record(l)
+	}
+	for l := range p.accepted {
+		record(l)
+	}
+}
+
 // sendHeartbeats sends the heartbeat to all peers if it has changed. Otherwise it
 // sends it to the peers that rely on it or wait for responses if nothing was sent
 // to them for about heartbeatInterval, and to the rest after
@@ -164,7 +183,7 @@
 		}
 		if failed := l.failIdempotent(); failed > 0 {
 			p.cfg.Log.WithFields(log.Fields{
-				"peer": id, "requests": failed, "silent": silent, "heard": now.Sub(time.Unix(0, l.lastRead.Load())).String(),
+				"peer": id, "requests": failed, "silent": silent, "heard": now.Sub(l.socket.ReadAt()).String(),
 			}).Info(oriolelog.MessagePeerUnresponsive)
 		}
 	}
--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -61,10 +61,8 @@
 	queued queuedBytes
 	// lastNumber is the number of the last request sent on this link.
 	lastNumber atomic.Uint64
-	// lastWrite is when the last frame was written, and lastRead when the last
-	// one was received, in Unix nanoseconds.
+	// lastWrite is when the last frame was written, in Unix nanoseconds.
 	lastWrite atomic.Int64
-	lastRead  atomic.Int64
 	// writingSince is when the frame that is being written was begun, in Unix
 	// nanoseconds, or 0.
 	writingSince atomic.Int64
@@ -141,7 +139,7 @@
 	// Not repeated more often than links are dialed.
 	p.cfg.Log.WithError(err).WithFields(log.Fields{
 		"peer": l.peer, "dialed": l.dialed, "side": side, "queued": queued, "pending": lost.pending, "running": lost.running,
-		"silent": time.Since(time.Unix(0, l.lastRead.Load())).String(),
+		"silent": p.cfg.Timers.Now().Sub(l.socket.ReadAt()).String(),
 	}).Info(oriolelog.MessageLinkEnded)
 }
 
@@ -151,7 +149,6 @@
 		if err != nil {
 			return err
 		}
-		l.lastRead.Store(time.Now().UnixNano())
 		p.cfg.Metrics.Add("link_bytes_in", int64(len(data)))
 		p.markHeard(l.peer)
 		frame, err := oriolemessage.Decode[oriolemessage.Frame](data)
@@ -365,13 +362,13 @@
 	return failed
 }
 
-// unresponsive reports whether nothing was received on the link for longer than
+// unresponsive reports whether no byte was received on the link for longer than
 // the silence timeout while a request was pending. A peer that runs requests
 // received on a link sends heartbeats on that link.
 func (l *link) unresponsive(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.UnixNano()-l.lastRead.Load() <= int64(orioleliveness.SilenceTimeout) {
+	if now.Sub(l.socket.ReadAt()) <= orioleliveness.SilenceTimeout {
 		return false
 	}
 	for _, req := range l.pending {
--- a/pkg/oriole/orioleliveness/detector.go
+++ b/pkg/oriole/orioleliveness/detector.go
@@ -1,5 +1,5 @@
 // Package orioleliveness is the failure detector of gateways: it decides which
-// gateways are alive, by the frames that arrive from them and by the reports of
+// gateways are alive, by the bytes that arrive from them and by the reports of
 // peers. [Detector] is a pure state machine: it holds no goroutine, does no I/O
 // and reads no clock.
 //
@@ -21,7 +21,7 @@
 )
 
 const (
-	// SilenceTimeout is the time without a frame after which a gateway counts as
+	// SilenceTimeout is the time without a byte after which a gateway counts as
 	// unreachable. It tolerates two heartbeats that are late.
 	SilenceTimeout = 1100 * time.Millisecond
 	// maxMeshSize is the number of gateways up to which all exchange heartbeats
@@ -44,9 +44,9 @@
 type Detector struct {
 	self    oriole.Member
 	members map[oriole.GatewayID]oriole.Member
-	// lastHeard is when the last frame of each gateway arrived.
+	// lastHeard is when the last bytes of each gateway arrived.
 	lastHeard map[oriole.GatewayID]time.Time
-	// firstHeard is when the first frame of each gateway arrived.
+	// firstHeard is when the first bytes of each gateway arrived.
 	firstHeard map[oriole.GatewayID]time.Time
 	// reports holds the last report of each gateway.
 	reports map[oriole.GatewayID]report
@@ -124,12 +124,14 @@
 	delete(d.members, d.self.ID)
 }
 
-// RecordFrame records the arrival of a frame from the gateway.
-func (d *Detector) RecordFrame(now time.Time, id oriole.GatewayID) {
+// RecordFrame records that a frame from the gateway, or a part of one, arrived at the time.
+func (d *Detector) RecordFrame(at time.Time, id oriole.GatewayID) {
 	if _, known := d.firstHeard[id]; !known {
-		d.firstHeard[id] = now
+		d.firstHeard[id] = at
+	}
+	if at.After(d.lastHeard[id]) {
+		d.lastHeard[id] = at
 	}
-	d.lastHeard[id] = now
 }
 
 // RecordReport records a gateway's report of those that it has not heard from
@@ -142,14 +144,14 @@
 	d.reports[id] = r
 }
 
-// heardRecently reports whether a frame of the gateway arrived within
+// heardRecently reports whether bytes of the gateway arrived within
 // [SilenceTimeout].
 func (d *Detector) heardRecently(now time.Time, id oriole.GatewayID) bool {
 	at, known := d.lastHeard[id]
 	return known && now.Sub(at) <= SilenceTimeout
 }
 
-// HeardRecently reports whether a frame of the gateway arrived within
+// HeardRecently reports whether bytes of the gateway arrived within
 // [SilenceTimeout].
 func (d *Detector) HeardRecently(now time.Time, id oriole.GatewayID) bool {
 	return d.heardRecently(now, id)
--- a/pkg/oriole/orioleliveness/stall_test.go
+++ b/pkg/oriole/orioleliveness/stall_test.go
@@ -77,3 +77,13 @@
 	}
 	is.True(d.Failed(peer))
 }
+
+// TestOrderOfRecordsDoesNotMatter guards against taking a peer for lost because one of its
+// links, on which nothing has arrived for longer, is recorded after another.
+func TestOrderOfRecordsDoesNotMatter(t *testing.T) {
+	is := is.New(t)
+	d, peer, now := startPair()
+	d.RecordFrame(now, peer)
+	d.RecordFrame(now.Add(-2*orioleliveness.SilenceTimeout), peer)
+	is.True(d.HeardRecently(now, peer))
+}
