--- a/internal/oriolerouter/orioleingress/listener.go
+++ b/internal/oriolerouter/orioleingress/listener.go
@@ -211,6 +211,9 @@
 	timer     *time.Timer
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *trackedConn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
+
 // Read implements net.Conn. It refuses header sections beyond the guard's limits.
 func (c *trackedConn) Read(data []byte) (int, error) {
 	n, err := c.read(data)
--- a/internal/oriolerouter/oriolelink/heartbeat.go
+++ b/internal/oriolerouter/oriolelink/heartbeat.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"reflect"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
@@ -11,6 +12,7 @@
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
 	"github.com/orioleswitch/orioleswitch/internal/oriolerouter/oriolelog"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleliveness"
 )
 
 const (
@@ -23,7 +25,8 @@
 	idleHeartbeatInterval = 5 * time.Second
 )
 
-// heartbeatDuty sends heartbeats to peers, and detects unresponsive peers.
+// heartbeatDuty sends heartbeats to peers, and detects unresponsive peers and links that
+// are stuck.
 type heartbeatDuty struct{ links *Links }
 
 func (d *heartbeatDuty) String() string { return "pulse" }
@@ -43,6 +46,9 @@
 			return ctx.Err()
 		}
 		now := p.cfg.Timers.Now()
+		for _, l := range p.openLinks() {
+			l.observe(now)
+		}
 		next, nextUnheard, heartbeat := p.tick(now)
 		p.sendHeartbeats(now, heartbeat, last == nil || hasChanged(*last, *heartbeat))
 		last = heartbeat
@@ -67,12 +73,30 @@
 	heartbeat = p.cfg.Receiver.Heartbeat()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.recordReads(now)
 	alive = p.liveness.Tick(now)
 	monitor, unreachable := p.liveness.Report(now)
 	heartbeat.Monitor, heartbeat.Unreachable = monitor, oriolemessage.FromGatewayIDs(unreachable)
 	return alive, p.liveness.Unheard(now), heartbeat
 }
 
+// recordReads records the peers whose bytes have arrived recently: a large frame may take
+// longer than the silence timeout to arrive, and heartbeats wait behind it. p.mu must be
+// held.
+func (p *Links) recordReads(now time.Time) {
+	record := func(l *link) {
+		if at := l.socket.ReadAt(); now.Sub(at) <= orioleliveness.SilenceTimeout {
+			p.liveness.RecordFrame(at, l.peer)
+		}
+	}
+	for _, l := range p.links {
+		record(l)
+	}
+	for l := range p.accepted {
+		record(l)
+	}
+}
+
 // sendHeartbeats sends the heartbeat to all peers if it has changed. Otherwise it
 // sends it to the peers that rely on it or wait for responses if nothing was sent
 // to them for about heartbeatInterval, and to the rest after
@@ -98,6 +122,13 @@
 	return &oriolemessage.Frame{Heartbeat: heartbeat, SentAt: oriolemessage.FromSentAt(p.cfg.BootClock.Now())}
 }
 
+// openLinks returns all links.
+func (p *Links) openLinks() []*link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.AppendSeq(slices.Collect(maps.Values(p.links)), maps.Keys(p.accepted))
+}
+
 func (p *Links) shouldHeartbeat(peer oriole.GatewayID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -152,7 +183,7 @@
 		}
 		if failed := l.failIdempotent(); failed > 0 {
 			p.cfg.Log.WithFields(log.Fields{
-				"peer": id, "requests": failed, "silent": silent, "heard": now.Sub(time.Unix(0, l.lastRead.Load())).String(),
+				"peer": id, "requests": failed, "silent": silent, "heard": now.Sub(l.socket.ReadAt()).String(),
 			}).Info(oriolelog.MessagePeerUnresponsive)
 		}
 	}
