Gateways that are all being stopped agree on a dispatcher

Cause: a gateway that drains leaves the directory at once, and its peers forgot it. One that was being stopped and knew no other took itself for the dispatcher of every pool, so that all of them sent to the same upstreams, more than those take; upstreams reset connections when they are full. Change: the cluster state keeps gateways that drain or have left the directory (Leaving) until their VMs run later ones, for a minute at most. A forwarder that is being stopped itself, and reaches no dispatcher that isn't, asks the highest ranked of them that it reaches, by the same ranking. It asks each for no longer than it listens less 0.5 s (oriolestop.Schedule.Asks), since the other may end after that, and requests on their way would be lost with it. One that refuses as the request would outlast it is followed by the next, and at last by this gateway, as before. Gateways that run ask none of them. Nothing else reads Leaving: LiveMembers, Gateways and Alive are as before, and with them leaders, monitors, quorum, accounts, wanted links and the watcher.

--- a/internal/oriolerouter/orioleingress/forwarder.go
+++ b/internal/oriolerouter/orioleingress/forwarder.go
@@ -96,7 +96,9 @@
 	budget   *retryBudget
 	balancer *poolBalancer
 	rankings orioleplacement.RankingCache
-	reach    *reachRecord
+	// leavingRankings are those of the gateways that are being stopped.
+	leavingRankings orioleplacement.RankingCache
+	reach           *reachRecord
 	// rejectedLines limits the log lines of logRejected.
 	rejectedLines *rate.Limiter
 	// schedule is nil until the gateway is being stopped; then stopping is done.
@@ -492,7 +494,8 @@
 
 // dispatcherFor returns the highest ranked dispatcher of the pool that is reachable
 // and was not tried, or this gateway if there is none. If one did not reach an upstream,
-// those of its zone may be cut off as well, so that others go first.
+// those of its zone may be cut off as well, so that others go first. Gateways that are being
+// stopped come last, and only this one asks them that is being stopped too.
 func (f *Forwarder) dispatcherFor(state *oriole.ClusterState, pool oriole.PoolID, tried *triedDispatchers) oriole.GatewayID {
 	now := f.cfg.Clock.Now()
 	if tried.givenBack == maxGivenBack && !slices.Contains(tried.refused, f.cfg.Self.ID) {
@@ -502,6 +505,8 @@
 	sameZone, failing := oriole.GatewayID(""), oriole.GatewayID("")
 	for _, id := range f.rankings.Ranking(pool, state.LargeBodies(pool.Service), state.LiveMembers()) {
 		switch {
+		case id == f.cfg.Self.ID && f.schedule.Load() != nil:
+			// The cluster state may not show it yet.
 		case slices.Contains(tried.refused, id) || (id != f.cfg.Self.ID && !f.cfg.Peers.Reachable(id)):
 		case f.reach.fails(now, state, pool, id):
 			cutOff = true
@@ -512,7 +517,27 @@
 			sameZone = cmp.Or(sameZone, id)
 		}
 	}
-	return cmp.Or(sameZone, failing, f.cfg.Self.ID)
+	return cmp.Or(sameZone, failing, f.leavingDispatcher(now, state, pool, tried), f.cfg.Self.ID)
+}
+
+// leavingDispatcher returns the highest ranked dispatcher of the pool among the gateways that
+// are being stopped, or nothing if this one is not. If all are being stopped, they agree on
+// a sender: each for itself, they would send more than upstreams take.
+func (f *Forwarder) leavingDispatcher(now time.Time, state *oriole.ClusterState, pool oriole.PoolID, tried *triedDispatchers) oriole.GatewayID {
+	schedule := f.schedule.Load()
+	var members []oriole.Member
+	for _, leaving := range state.Leaving {
+		if schedule.Asks(now, leaving.Since) {
+			members = append(members, leaving.Member)
+		}
+	}
+	slices.SortFunc(members, func(a, b oriole.Member) int { return cmp.Compare(a.ID, b.ID) })
+	for _, id := range f.leavingRankings.Ranking(pool, state.LargeBodies(pool.Service), members) {
+		if !slices.Contains(tried.refused, id) && !f.reach.fails(now, state, pool, id) && (id == f.cfg.Self.ID || f.cfg.Peers.Reachable(id)) {
+			return id
+		}
+	}
+	return ""
 }
 
 // waitForOtherUpstream waits until the request is routed to another pool, as it is soon
--- a/internal/oriolerouter/orioleingress/overlap_test.go
+++ b/internal/oriolerouter/orioleingress/overlap_test.go
@@ -68,6 +68,7 @@
 				id := oriole.GatewayID(fmt.Sprintf("vm%d.1", i))
 				state.Gateways[id] = oriole.Member{ID: id, VM: string(id), Zone: oriole.ZoneName(fmt.Sprintf("z%d", i%3)), Weight: 1, Draining: true}
 				state.Alive[id] = true
+				state.Leaving[id] = oriole.LeavingGateway{Member: state.Gateways[id], Since: time.Unix(1000, 0)}
 			}
 			if large {
 				state.SetConfig(&oriole.Config{Routes: []oriole.Route{{LargeBodies: true, Shares: []oriole.Share{{Service: "s", Weight: 1}}}}}, time.Unix(1, 0))
@@ -121,3 +122,36 @@
 	is.True(len(peers.asked) < len(ranking)/2) // it does not ask all of them
 	is.True(slices.Equal(peers.asked, ranking[:len(peers.asked)]))
 }
+
+// TestEndingDispatcherIsAsked guards against requests for gateways that end soon, and against leaving ones that are asked by a gateway that runs.
+func TestEndingDispatcherIsAsked(t *testing.T) {
+	is := is.New(t)
+	const grace = 6 * time.Second
+	began := time.Unix(1000, 0)
+	state := oriole.NewClusterState()
+	self := oriole.Member{ID: "vm0.1", VM: "vm0", Zone: "z", Weight: 1}
+	leaves := oriole.Member{ID: "vm1.1", VM: "vm1", Zone: "z", Weight: 1, Draining: true}
+	state.Leaving[leaves.ID] = oriole.LeavingGateway{Member: leaves, Since: began}
+	for _, test := range []struct {
+		name    string
+		stopped bool
+		now     time.Time
+		refused []oriole.GatewayID
+		want    oriole.GatewayID
+	}{
+		{"this one runs", false, began, nil, self.ID},
+		{"both are being stopped", true, began.Add(time.Second), nil, leaves.ID},
+		{"it has refused", true, began.Add(time.Second), []oriole.GatewayID{leaves.ID}, self.ID},
+		{"it may end", true, began.Add(2500 * time.Millisecond), nil, self.ID},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			f := NewForwarder(ForwarderConfig{Self: self, Peers: reachablePeers{}, Clock: oriolesim.NewClock(test.now)})
+			if test.stopped {
+				f.Stop(oriolestop.New(test.now, grace))
+			}
+			is.Equal(f.dispatcherFor(state, oriole.PoolID{Service: "s", Zone: "z"}, &triedDispatchers{refused: test.refused}), test.want)
+		})
+	}
+	is.Equal(len(state.LiveMembers()), 0)
+}
--- a/internal/oriolerouter/oriolestate/update.go
+++ b/internal/oriolerouter/oriolestate/update.go
@@ -161,6 +161,7 @@
 		}
 	}
 	b.sweepRestored(state)
+	b.sweepLeaving(state)
 	b.remindLeaders(state)
 	state.DirectoryLoaded = b.listed["upstreams"] && b.listed["outs"] && b.listed["gateways"]
 }
@@ -249,6 +250,12 @@
 		selfListed = selfListed || (!change.Removed && change.Value.ID == b.cfg.Self.ID)
 		b.setGateway(gateways, known, change)
 	}
+	for id, m := range known {
+		if _, listed := gateways[id]; !listed {
+			b.recordLeaving(state, m)
+		}
+	}
+	dropReplaced(state)
 	draining := gateways[b.cfg.Self.ID].Draining
 	if (u.reset && !selfListed && !draining && b.cfg.announced()) || (restored && selfListed && draining) {
 		b.cfg.RequestAnnounce()
@@ -300,6 +307,10 @@
 	if state.Gateways[m.ID] == m {
 		return
 	}
+	if m.Draining {
+		b.recordLeaving(state, m)
+	}
+	defer dropReplaced(state)
 	gateways := state.EditGateways()
 	for id, known := range gateways {
 		if known.VM != m.VM || id == m.ID {
--- a/pkg/oriole/clusterstate.go
+++ b/pkg/oriole/clusterstate.go
@@ -50,6 +50,10 @@
 	// recently heard from, directly or through a peer, and this one.
 	Gateways map[GatewayID]Member
 	Alive    map[GatewayID]bool
+	// Leaving holds the gateways that are being stopped, also those that have left the
+	// directory, for about a minute. They take part in nothing but to dispatch requests for
+	// one another.
+	Leaving map[GatewayID]LeavingGateway
 	// Unheard is set if others that are alive may take this gateway for lost: they don't hear
 	// it, or it has lost the monitors.
 	Unheard bool
@@ -66,9 +70,15 @@
 	own   ownedMaps
 }
 
+// LeavingGateway is a gateway that is being stopped, and when this gateway learned of it.
+type LeavingGateway struct {
+	Member Member
+	Since  time.Time
+}
+
 // ownedMaps records which maps of a state are not shared with another one.
 type ownedMaps struct {
-	upstreams, departed, evacuated, gateways, assignments bool
+	upstreams, departed, evacuated, gateways, leaving, assignments bool
 }
 
 // stateIndex caches the lookups that are made for each request. A part that is
@@ -144,6 +154,11 @@
 	return edit(&s.Gateways, &s.own.gateways)
 }
 
+// EditLeaving returns Leaving for changes.
+func (s *ClusterState) EditLeaving() map[GatewayID]LeavingGateway {
+	return edit(&s.Leaving, &s.own.leaving)
+}
+
 // SetAlive replaces Alive. The caller must not modify the map afterwards.
 func (s *ClusterState) SetAlive(alive map[GatewayID]bool) {
 	s.dropMembers()
@@ -203,6 +218,7 @@
 		Evacuated:   make(map[ZoneName]bool),
 		Gateways:    make(map[GatewayID]Member),
 		Alive:       make(map[GatewayID]bool),
+		Leaving:     make(map[GatewayID]LeavingGateway),
 		Assignments: make(map[ServiceName]*Assignment),
 		AssignedAt:  make(map[ServiceName]time.Time),
 	}
--- a/pkg/oriole/clusterstate_test.go
+++ b/pkg/oriole/clusterstate_test.go
@@ -38,6 +38,7 @@
 	next.SetAlive(map[oriole.GatewayID]bool{"vm1.1": true, "vm2.1": true})
 	next.EditEvacuated()["z"] = true
 	next.EditDeparted()[oriole.Incarnation{ID: "i-0"}] = oriole.Upstream{ID: "i-0"}
+	next.EditLeaving()["vm0.1"] = oriole.LeavingGateway{}
 	next.BuildIndex()
 	is.Equal(len(next.LiveMembers()), 2)
 	is.Equal(len(next.UsableUpstreams("s")), 0)
@@ -45,4 +46,5 @@
 	is.Equal(len(state.UsableUpstreams("s")), 1)
 	is.Equal(len(state.LiveMembers()), 1)
 	is.Equal(len(state.Departed), 0)
+	is.Equal(len(state.Leaving), 0)
 }
--- a/pkg/oriole/oriolestop/stop.go
+++ b/pkg/oriole/oriolestop/stop.go
@@ -16,6 +16,8 @@
 	// answerReserve is the time left to write responses that arrive at the
 	// deadlines of their requests.
 	answerReserve = 250 * time.Millisecond
+	// noticeTime is how long after the begin of a stop other gateways may learn of it.
+	noticeTime = 500 * time.Millisecond
 	// DutyTimeout is how long the process waits for its duties to end, and
 	// FlushTimeout how long it writes the rest of the log. Together with
 	// CloseTimeout they are shorter than exitReserve.
@@ -38,12 +40,14 @@
 	CutAt time.Time
 	// CloseUntil is until when peers may confirm that their connections are closed.
 	CloseUntil time.Time
+	start      time.Time
 }
 
 // New returns the schedule of a stop that starts at the given time. The process is
 // killed once the grace period is over.
 func New(start time.Time, gracePeriod time.Duration) *Schedule {
 	return &Schedule{
+		start:       start,
 		ListenUntil: start.Add(min(readinessPropagation, gracePeriod-exitReserve-answerReserve)),
 		AnswerUntil: start.Add(gracePeriod - exitReserve - answerReserve),
 		CutAt:       start.Add(gracePeriod - exitReserve),
@@ -66,6 +70,13 @@
 	return s.AnswerUntil
 }
 
+// Asks reports whether this gateway, which is being stopped, may ask another one to dispatch
+// requests that is being stopped, as this one has learned at the given time. The other may
+// end once it no longer listens, and both listen for the same time.
+func (s *Schedule) Asks(now, since time.Time) bool {
+	return s != nil && now.Sub(since) < s.ListenUntil.Sub(s.start)-noticeTime
+}
+
 // Starts reports whether queued requests may still be sent to upstreams. Requests
 // that were queued before the stop may have any deadline.
 func (s *Schedule) Starts(now time.Time) bool {
--- a/pkg/oriole/oriolestop/stop_test.go
+++ b/pkg/oriole/oriolestop/stop_test.go
@@ -104,3 +104,20 @@
 		})
 	}
 }
+
+// TestEndingGatewaysAreAsked guards against requests on their way to a gateway that ends.
+func TestEndingGatewaysAreAsked(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	for _, grace := range []time.Duration{2 * time.Second, 6 * time.Second} {
+		other := oriolestop.New(start, grace)
+		learned := start.Add(100 * time.Millisecond)
+		schedule := oriolestop.New(start.Add(time.Second), grace)
+		is.True(schedule.Asks(start.Add(time.Second), start.Add(time.Second)))
+		for now := start; now.Before(schedule.CutAt); now = now.Add(10 * time.Millisecond) {
+			is.True(!schedule.Asks(now, learned) || now.Add(300*time.Millisecond).Before(other.ListenUntil))
+		}
+	}
+	var running *oriolestop.Schedule
+	is.True(!running.Asks(start, start)) // it dispatches them itself
+}
