Requests that a finishing dispatcher has not taken are not run

Callers saw: 502 for a request that crossed the end of its dispatcher, also for one that must not be repeated and has not run. Cause: a dispatcher closes its links at the end of its stop. The forwarder took each request that it had written for one that may have run, although the dispatcher had answered all that it had taken and discarded the rest. Change: the close frame says so, with the reason 'finished', if no request of the peer is under way and no response was dropped; no request is taken after that. The forwarder then treats the pending ones as not run, and asks the next dispatcher. Result: go test -race ./internal/oriolerouter/oriolelink: TestRequestThatCrossesTheEndOfItsDispatcherIsNotRun failed (unknown != not-run), passes now; TestLinkTellsWhetherAllRequestsWereAnswered and TestRequestAfterTheLastResponseIsNotTaken are new and pass.

--- a/internal/oriolerouter/oriolelink/finished_test.go
+++ b/internal/oriolerouter/oriolelink/finished_test.go
@@ -10,7 +10,10 @@
 
 	"github.com/coder/websocket"
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
+	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
+	"github.com/orioleswitch/orioleswitch/internal/oriolesocket"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 )
 
@@ -21,7 +24,7 @@
 		name, closeReason string
 		want              oriole.Outcome
 	}{
-		{"all taken requests were answered", "finished", oriole.OutcomeNotRun},
+		{"all taken requests were answered", closeFinished, oriole.OutcomeNotRun},
 		{"some were not", "", oriole.OutcomeUnknown},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -55,3 +58,54 @@
 		})
 	}
 }
+
+// TestLinkTellsWhetherAllRequestsWereAnswered guards against a dispatcher that tells a peer
+// that it has answered all that it has taken while a request is still under way.
+func TestLinkTellsWhetherAllRequestsWereAnswered(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		answered bool
+		want     string
+	}{
+		{"answered", true, closeFinished},
+		{"under way", false, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			links, member, receiver := startLinks(t, "dispatcher.1")
+			conn := dialRaw(t, member, "forwarder.1")
+			writeRequest(t, conn)
+			reply := <-receiver.replies
+			if test.answered {
+				reply(oriole.Response{Outcome: oriole.OutcomeAnswered, Status: 200})
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+			defer cancel()
+			finished := make(chan error, 1)
+			go func() { finished <- links.Finish(ctx) }()
+			var err error
+			for err == nil {
+				_, err = readRaw(context.Background(), conn)
+			}
+			var closed websocket.CloseError
+			is.True(errors.As(err, &closed))
+			is.Equal(closed.Reason, test.want)
+			<-finished
+		})
+	}
+}
+
+// TestRequestAfterTheLastResponseIsNotTaken guards against a request that is passed on after
+// its peer was told that all were answered.
+func TestRequestAfterTheLastResponseIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	links, _, receiver := startLinks(t, "dispatcher.1")
+	l := newLink("forwarder.1", dialRaw(t, links.cfg.Self, "forwarder.1"), new(oriolesocket.Conn), nil, nil)
+	is.True(l.finish())
+	request := oriolemessage.FromRequest(1, oriole.Request{ID: "r", Pool: oriole.PoolID{Service: "s"}, Method: "GET", Deadline: time.Now().Add(time.Minute)}, time.Now())
+	links.handleRequest(context.Background(), l, request, 0)
+	is.Equal(len(receiver.replies), 0)
+	out, err := l.out.Take(context.Background())
+	is.NoErr(err)
+	is.True(out.frame.Response != nil)
+}
--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -70,8 +70,11 @@
 	// transit measures the delay of the peer's frames. Only the reader uses it.
 	transit transit
 	// unanswered is the number of the peer's requests whose responses have not been
-	// handed to the connection.
+	// handed to the connection. dropped is set once a response was dropped instead.
 	unanswered atomic.Int64
+	dropped    atomic.Bool
+	// finished is set once no more requests of the peer are taken.
+	finished atomic.Bool
 
 	mu     sync.Mutex
 	closed bool
@@ -126,7 +129,7 @@
 		_ = l.conn.CloseNow()
 	}()
 	err := l.readLoop(ctx, p)
-	reading := ctx.Err() == nil
+	reading, finished := ctx.Err() == nil, closedFinished(err)
 	cancel()
 	side := "read"
 	if failed := <-writeErr; reading && !errors.Is(failed, context.Canceled) {
@@ -135,7 +138,7 @@
 	}
 	queued := l.out.Len()
 	l.queued.close()
-	lost := l.failPending()
+	lost := l.failPending(finished)
 	if lost == (lostRequests{}) && side == "read" {
 		// Each stop of a gateway ends its links in good order.
 		return
@@ -196,6 +199,9 @@
 	data, err := out.encode(p.cfg.Clock)
 	if err != nil {
 		p.cfg.Metrics.Add("link_frames_oversize", 1)
+		if frame.Response != nil {
+			l.dropped.Store(true)
+		}
 		return nil
 	}
 	if frame.Request != nil && !l.markWritten(frame.Request.Number) {
@@ -326,15 +332,35 @@
 // lostRequests holds the numbers of requests that ended with a link.
 type lostRequests struct{ pending, running int }
 
+// closeFinished is the reason in the close frame of a gateway that has answered all requests
+// which it has taken on the link. The others were discarded.
+const closeFinished = "finished"
+
+// closedFinished reports whether the error of a read is the end of a link on which the peer
+// has answered all requests that it has taken.
+func closedFinished(err error) bool {
+	var closed websocket.CloseError
+	return errors.As(err, &closed) && closed.Code == websocket.StatusGoingAway && closed.Reason == closeFinished
+}
+
+// finish ends taking requests of the peer, and reports whether all that were taken are
+// answered.
+func (l *link) finish() bool {
+	// A request that is taken meanwhile is counted before it looks at finished.
+	l.finished.Store(true)
+	return l.unanswered.Load() == 0 && !l.dropped.Load()
+}
+
 // failPending fails all pending requests when the link has ended, and cancels
-// the peer's requests that run here.
-func (l *link) failPending() (lost lostRequests) {
+// the peer's requests that run here. Those that were written may have run, unless the peer
+// has finished all that it has taken.
+func (l *link) failPending(finished bool) (lost lostRequests) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
 	lost = lostRequests{len(l.pending), len(l.running)}
 	for _, req := range l.pending {
-		if !req.writtenAt.IsZero() {
+		if !req.writtenAt.IsZero() && !finished {
 			req.response <- oriole.UnknownResponse(oriole.ReasonConnection)
 		} else {
 			req.response <- oriole.NotRunResponse(oriole.ReasonNotDispatcher)
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -309,6 +309,10 @@
 		p.respond(ctx, l, forwarded, resp)
 	}
 	forwarded.Body = body
+	if l.finished.Load() {
+		reply(oriole.NotRunResponse(oriole.ReasonNotDispatcher))
+		return
+	}
 	r, err := forwarded.ToRequest(p.cfg.Timers.Now().Add(-delay))
 	if err == nil && !complete {
 		p.cfg.Metrics.Add("link_bodies_refused", 1)
@@ -425,8 +429,12 @@
 		closing = append(closing, closingLink{done, p.liveness.HeardRecently(now, l.peer) || p.liveness.Alive(l.peer)})
 		go func() {
 			defer close(done)
+			reason := ""
+			if l.finish() {
+				reason = closeFinished
+			}
 			// An error means that the link has ended.
-			_ = l.conn.Close(websocket.StatusGoingAway, "")
+			_ = l.conn.Close(websocket.StatusGoingAway, reason)
 		}()
 	}
 	return closing
--- a/internal/oriolerouter/oriolelink/notrun_test.go
+++ b/internal/oriolerouter/oriolelink/notrun_test.go
@@ -25,8 +25,8 @@
 		want   oriole.Outcome
 		reason oriole.Reason
 	}{
-		{"link ends, written", true, func(l *link, _ context.CancelFunc) { l.failPending() }, oriole.OutcomeUnknown, oriole.ReasonConnection},
-		{"link ends, not written", false, func(l *link, _ context.CancelFunc) { l.failPending() }, oriole.OutcomeNotRun, oriole.ReasonNotDispatcher},
+		{"link ends, written", true, func(l *link, _ context.CancelFunc) { l.failPending(false) }, oriole.OutcomeUnknown, oriole.ReasonConnection},
+		{"link ends, not written", false, func(l *link, _ context.CancelFunc) { l.failPending(false) }, oriole.OutcomeNotRun, oriole.ReasonNotDispatcher},
 		{"caller leaves, written", true, func(_ *link, cancel context.CancelFunc) { cancel() }, oriole.OutcomeUnknown, oriole.ReasonCancelled},
 		{"caller leaves, not written", false, func(_ *link, cancel context.CancelFunc) { cancel() }, oriole.OutcomeNotRun, oriole.ReasonCancelled},
 	} {
--- a/internal/oriolerouter/oriolelink/part_test.go
+++ b/internal/oriolerouter/oriolelink/part_test.go
@@ -152,7 +152,7 @@
 		release()
 	}
 	for _, l := range ended {
-		l.failPending()
+		l.failPending(false)
 	}
 	is.Equal(memory.Usage().Used, int64(0))
 }
