A request that its peer has not received owes no sign of life

Cause: a peer counted as unresponsive 1.1 s after the frame of a request was begun to be written, although it sends heartbeats on a link only while it runs requests, so not before the frame has arrived. A body of 256 KiB takes longer on a link that is in use. Change: the time counts from when the peer was last seen to take bytes up to the end of the request. What it acknowledges after that does not count: its system acknowledges heartbeats of this gateway also while the peer is paused.

--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -97,7 +97,12 @@
 	idempotent bool
 	// writtenAt is when the frame was handed to the connection, or zero.
 	writtenAt time.Time
-	response  chan oriole.Response
+	// writtenTo is the number of bytes that were written to the connection up to the end
+	// of the frame, or 0 while it is being written.
+	writtenTo int64
+	// takenUntil is when the peer was last seen to take bytes up to the end of the frame.
+	takenUntil time.Time
+	response   chan oriole.Response
 }
 
 func newLink(peer oriole.GatewayID, conn *websocket.Conn, socket *oriolesocket.Conn, memory, queueMemory *oriolememory.Pool) *link {
@@ -207,9 +212,21 @@
 	if err := l.conn.Write(ctx, websocket.MessageBinary, data); err != nil {
 		return errors.Wrapf(err, "%d bytes not acknowledged", oriolesocket.Unsent(l.socket.Conn))
 	}
+	if frame.Request != nil {
+		l.markEnd(frame.Request.Number, l.socket.Written())
+	}
 	return nil
 }
 
+// markEnd records up to which byte of the connection the request was written.
+func (l *link) markEnd(number uint64, writtenTo int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if req := l.pending[number]; req != nil {
+		req.writtenTo = writtenTo
+	}
+}
+
 // observe records how much of what was written the peer has acknowledged. If it has
 // acknowledged nothing for writeTimeout while a frame was being written, the write fails
 // and the link ends. Bytes that the system holds while no frame waits are left to TCP,
@@ -220,6 +237,11 @@
 	acknowledged := l.socket.Acknowledged()
 	if acknowledged > l.acknowledged {
 		l.acknowledgedAt = now
+		for _, req := range l.pending {
+			if !req.writtenAt.IsZero() && (req.writtenTo == 0 || req.writtenTo > acknowledged) {
+				req.takenUntil = now
+			}
+		}
 	}
 	// It may be lower than before while a write waits.
 	l.acknowledged = acknowledged
@@ -364,7 +386,8 @@
 
 // unresponsive reports whether no byte was received on the link for longer than
 // the silence timeout while a request was pending. A peer that runs requests
-// received on a link sends heartbeats on that link.
+// received on a link sends heartbeats on that link, but not before it has
+// received them.
 func (l *link) unresponsive(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -372,7 +395,8 @@
 		return false
 	}
 	for _, req := range l.pending {
-		if !req.writtenAt.IsZero() && now.Sub(req.writtenAt) > orioleliveness.SilenceTimeout {
+		if !req.writtenAt.IsZero() && now.Sub(req.writtenAt) > orioleliveness.SilenceTimeout &&
+			now.Sub(req.takenUntil) > orioleliveness.SilenceTimeout {
 			return true
 		}
 	}
--- a/internal/oriolerouter/oriolelink/slow_test.go
+++ b/internal/oriolerouter/oriolelink/slow_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleliveness"
 )
 
 // slowTimeout bounds the wait for what passes through a relay.
@@ -148,6 +149,24 @@
 	is.Equal((<-responses).Status, 200)
 }
 
+// TestSilentPeerIsUnresponsive guards against waiting for a peer that has received a
+// request and is silent, because its system acknowledges the heartbeats of this gateway.
+func TestSilentPeerIsUnresponsive(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	receiver := frameReceiver{make(chan *oriolemessage.Frame, 16), make(chan func(oriole.Response), 16)}
+	_, dispatcher := startLinksWith(t, "dispatcher.1", receiver, noTicks{}) // it sends no heartbeats
+	forwarder, _, _ := startLinks(t, "forwarder.1")
+	forwarder.SetMembers(nil, map[oriole.GatewayID]oriole.Member{dispatcher.ID: dispatcher}) // monitors judge it
+	awaitReachable(forwarder, dispatcher.ID)
+	responses := forwardSlowly(forwarder, dispatcher.ID, true, nil)
+	nextReply(t, receiver, responses)
+	started := time.Now()
+	is.Equal((<-responses).Reason, oriole.ReasonConnection)
+	t.Logf("given up after %v", time.Since(started).Round(10*time.Millisecond))
+	is.True(time.Since(started) < 3*orioleliveness.SilenceTimeout)
+}
+
 // TestPeerWithSlowFrameIsHeard guards against taking a peer for lost while a large frame
 // of it arrives slowly.
 func TestPeerWithSlowFrameIsHeard(t *testing.T) {
