Heartbeats do not pile up behind slow frames

Cause: the time of the last write is set before a frame is written. While a frame takes seconds, every tick of 0.2 s queues one or two heartbeats, and the ring of 256 frames fills: requests are refused, responses wait for room. Change: one periodic heartbeat at a time waits in a link's ring. Those that announce a change are queued as before.

--- a/internal/oriolerouter/oriolelink/heartbeat.go
+++ b/internal/oriolerouter/oriolelink/heartbeat.go
@@ -100,22 +100,32 @@
 // sendHeartbeats sends the heartbeat to all peers if it has changed. Otherwise it
 // sends it to the peers that rely on it or wait for responses if nothing was sent
 // to them for about heartbeatInterval, and to the rest after
-// idleHeartbeatInterval.
+// idleHeartbeatInterval. One that is queued behind a slow frame is enough: meanwhile the
+// peer hears the frame's bytes.
 func (p *Links) sendHeartbeats(now time.Time, heartbeat *oriolemessage.Heartbeat, changed bool) {
 	frame := &outgoing{frame: p.heartbeatFrame(heartbeat)}
 	for _, l := range p.onePerPeer() {
 		idle := now.Sub(time.Unix(0, l.lastWrite.Load()))
-		if changed || idle >= idleHeartbeatInterval || (idle >= heartbeatInterval*3/4 && p.shouldHeartbeat(l.peer)) {
-			p.offer(l, frame)
+		due := idle >= idleHeartbeatInterval || (idle >= heartbeatInterval*3/4 && p.shouldHeartbeat(l.peer))
+		if changed || (due && !l.heartbeatQueued.Load()) {
+			p.offerHeartbeat(l, frame)
 		}
 	}
 	for _, l := range p.servingLinks() {
-		if now.Sub(time.Unix(0, l.lastWrite.Load())) >= heartbeatInterval*3/4 {
-			p.offer(l, frame)
+		if now.Sub(time.Unix(0, l.lastWrite.Load())) >= heartbeatInterval*3/4 && !l.heartbeatQueued.Load() {
+			p.offerHeartbeat(l, frame)
 		}
 	}
 }
 
+// offerHeartbeat queues a periodic heartbeat.
+func (p *Links) offerHeartbeat(l *link, frame *outgoing) {
+	l.heartbeatQueued.Store(true)
+	if !p.offer(l, frame) {
+		l.heartbeatQueued.Store(false)
+	}
+}
+
 // heartbeatFrame returns the frame of a heartbeat that is sent now. Peers measure by it
 // how fast frames of this gateway arrive.
 func (p *Links) heartbeatFrame(heartbeat *oriolemessage.Heartbeat) *oriolemessage.Frame {
--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -66,6 +66,8 @@
 	// writingSince is when the frame that is being written was begun, in Unix
 	// nanoseconds, or 0.
 	writingSince atomic.Int64
+	// heartbeatQueued is set while a periodic heartbeat waits in out.
+	heartbeatQueued atomic.Bool
 
 	// transit measures the delay of the peer's frames. Only the reader uses it.
 	transit transit
@@ -195,6 +197,9 @@
 	if frame.Response != nil {
 		defer l.unanswered.Add(-1)
 	}
+	if frame.Heartbeat != nil {
+		l.heartbeatQueued.Store(false)
+	}
 	data, err := out.encode(p.cfg.Clock)
 	if err != nil {
 		p.cfg.Metrics.Add("link_frames_oversize", 1)
--- a/internal/oriolerouter/oriolelink/slow_test.go
+++ b/internal/oriolerouter/oriolelink/slow_test.go
@@ -220,6 +220,28 @@
 	checkHeard(t, forwarder, dispatcherMember.ID, receiver)
 }
 
+// TestHeartbeatsDoNotFillRing guards against requests that are refused because the ring of
+// a link is full of heartbeats that wait behind slow frames.
+func TestHeartbeatsDoNotFillRing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	dispatcher, dispatcherMember, _ := startLinks(t, "dispatcher.1")
+	forwarder, forwarderMember, receiver := startLinks(t, "forwarder.1")
+	linkOverRelay(t, forwarder, dispatcherMember)
+	listPeer(dispatcher, forwarderMember.ID)
+	is.True(dispatcher.Send(forwarderMember.ID, &oriolemessage.Frame{Part: &oriolemessage.Part{Number: 1, Body: testBody(partSize)}}))
+	is.True(dispatcher.Send(forwarderMember.ID, suspectFrame()))
+	links := dispatcher.onePerPeer()
+	is.Equal(len(links), 1)
+	queued := 0
+	for len(receiver.frames) == 0 {
+		queued = max(queued, links[0].out.Len())
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Logf("%d frames queued", queued)
+	is.True(queued <= 3) // the second frame, a heartbeat, and one that has changed
+}
+
 // TestLinkToPeerThatTakesNothingEnds guards against a link that stays open although its
 // peer does not read, or has stopped to read.
 func TestLinkToPeerThatTakesNothingEnds(t *testing.T) {
