Finish waits for peers that take bytes

Callers saw: a response on its way was lost when its dispatcher ended. Cause: after the responses are handed to the connections, Finish waits for peers to confirm the close, for 0.3 s if they are not known to be alive. A slow network holds a response longer. Change: a peer that is not known to be alive is waited for while it takes bytes, up to writeTimeout without any; one that is alive is waited for as before. The schedule of the stop bounds both.

--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -90,10 +90,7 @@
 	// their total size.
 	partials      map[uint64]*partialBody
 	bufferedBytes int
-	// acknowledged is how many bytes the peer had acknowledged when this was last
-	// observed, and acknowledgedAt when the number was last seen to grow.
-	acknowledged   int64
-	acknowledgedAt time.Time
+	progress      progress
 }
 
 // pendingRequest is a forwarded request that is not answered yet.
@@ -249,18 +246,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	acknowledged := l.socket.Acknowledged()
-	if acknowledged > l.acknowledged {
-		l.acknowledgedAt = now
+	if l.progress.observe(now, acknowledged) {
 		for _, req := range l.pending {
 			if !req.writtenAt.IsZero() && (req.writtenTo == 0 || req.writtenTo > acknowledged) {
 				req.takenUntil = now
 			}
 		}
 	}
-	// It may be lower than before while a write waits.
-	l.acknowledged = acknowledged
 	since := l.writingSince.Load()
-	if since == 0 || now.Sub(time.Unix(0, since)) < writeTimeout || now.Sub(l.acknowledgedAt) < writeTimeout {
+	if since == 0 || now.Sub(time.Unix(0, since)) < writeTimeout || now.Sub(l.progress.at) < writeTimeout {
 		return
 	}
 	// An error means that the connection is closed.
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -365,32 +366,64 @@
 	// finishInterval is how often Finish checks for responses that are not written.
 	finishInterval = 20 * time.Millisecond
 	// closeTimeout bounds the wait for peers that may have failed to confirm that they
-	// have read everything: many round trips between zones.
+	// have read everything, from when they have taken the last bytes: many round trips
+	// between zones.
 	closeTimeout = 300 * time.Millisecond
 )
 
 // Finish waits until the responses to all requests of peers were handed to their
 // connections, or the connections have ended. It then closes these connections
 // with a handshake: a process that exits resets a connection with unread frames,
-// and the peer could lose a response. Peers that are alive have until ctx is done for
-// it, as a slow network may hold a response. The last oriolestop.CloseTimeout before
-// ctx's deadline is left for the handshake; requests not answered by then are an error.
+// and the peer could lose a response. It waits for peers that are alive or take bytes, and
+// leaves others that have taken none for writeTimeout. The last oriolestop.CloseTimeout before ctx's
+// deadline is left for the handshake; requests not answered by then are an error.
 func (p *Links) Finish(ctx context.Context) error {
 	err := p.awaitResponses(ctx)
-	short, cancel := context.WithTimeout(ctx, closeTimeout)
-	defer cancel()
-	for _, l := range p.closeAccepted() {
-		wait := short
-		if l.alive {
-			wait = ctx
+	ticks, stop := p.cfg.Timers.Subscribe(finishInterval)
+	defer stop()
+	for closing := p.closeAccepted(); ; {
+		now := p.cfg.Timers.Now()
+		closing = slices.DeleteFunc(closing, func(c *closingLink) bool { return c.ended(now) })
+		if len(closing) == 0 {
+			return err
 		}
 		select {
-		case <-l.closed:
-		case <-wait.Done():
-			// The responses were handed to the connection.
+		case <-closing[0].closed:
+		case <-ticks:
+		case <-ctx.Done():
+			// The responses were handed to the connections.
+			return err
 		}
 	}
-	return err
+}
+
+// closingLink is a link that is being closed with a handshake.
+type closingLink struct {
+	socket *oriolesocket.Conn
+	// closed is closed once the peer has confirmed it.
+	closed chan struct{}
+	// alive is whether the peer was alive when the close began.
+	alive    bool
+	progress progress
+}
+
+// ended reports whether the peer has confirmed that the link is closed, or is not waited
+// for any longer.
+func (c *closingLink) ended(now time.Time) bool {
+	select {
+	case <-c.closed:
+		return true
+	default:
+	}
+	if c.alive {
+		return false
+	}
+	c.progress.observe(now, c.socket.Acknowledged())
+	timeout := closeTimeout
+	if c.progress.acknowledged < c.socket.Written() {
+		timeout = writeTimeout
+	}
+	return now.Sub(c.progress.at) >= timeout
 }
 
 func (p *Links) awaitResponses(ctx context.Context) error {
@@ -411,24 +444,20 @@
 	return nil
 }
 
-// closingLink is a link that is being closed.
-type closingLink struct {
-	// closed is closed once the peer has confirmed the close.
-	closed <-chan struct{}
-	// alive is whether the peer was alive when the close began.
-	alive bool
-}
-
-// closeAccepted closes the links that peers have opened.
-func (p *Links) closeAccepted() (closing []closingLink) {
+// closeAccepted begins to close the links that peers have opened.
+func (p *Links) closeAccepted() (closing []*closingLink) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.cfg.Timers.Now()
 	for l := range p.accepted {
-		done := make(chan struct{})
-		closing = append(closing, closingLink{done, p.liveness.HeardRecently(now, l.peer) || p.liveness.Alive(l.peer)})
+		c := &closingLink{
+			socket: l.socket, closed: make(chan struct{}),
+			alive:    p.liveness.HeardRecently(now, l.peer) || p.liveness.Alive(l.peer),
+			progress: progress{l.socket.Acknowledged(), now},
+		}
+		closing = append(closing, c)
 		go func() {
-			defer close(done)
+			defer close(c.closed)
 			reason := ""
 			if l.finish() {
 				reason = closeFinished
--- a/internal/oriolerouter/oriolelink/relay_test.go
+++ b/internal/oriolerouter/oriolelink/relay_test.go
@@ -15,13 +15,13 @@
 	// relayRate is the rate of a relay in bytes a second: a frame of partSize takes
 	// about 2.7 s.
 	relayRate = 96 << 10
-	// relayBuffer is the size of the buffers of a relay's sockets, and sendBuffer that of
-	// the send buffers of gateways that are connected to it, well below partSize. Segments
-	// are smaller than both.
-	relayBuffer  = 8 << 10
-	sendBuffer   = 16 << 10
-	relaySegment = 1400
-	relayChunk   = 2 << 10
+	// relayBuffer is the size of the buffers of a relay's sockets, and smallSendBuffer one
+	// of the send buffers of gateways that are connected to it, well below partSize.
+	// Segments are smaller than both.
+	relayBuffer     = 8 << 10
+	smallSendBuffer = 16 << 10
+	relaySegment    = 1400
+	relayChunk      = 2 << 10
 )
 
 // relay is a TCP relay that passes bytes on at relayRate in each direction.
@@ -33,11 +33,12 @@
 	stopped chan struct{}
 }
 
-// startRelay starts a relay to the target.
-func startRelay(t *testing.T, target netip.AddrPort) *relay {
+// startRelay starts a relay to the target. sendBuffer is the size of the send buffers of
+// the gateways at both ends, or 0 for the system's choice.
+func startRelay(t *testing.T, target netip.AddrPort, sendBuffer int) *relay {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	shrinkSendBuffers(target) // accepted connections inherit it
+	setSendBuffers(target, sendBuffer) // accepted connections inherit it
 	listener, err := (&net.ListenConfig{Control: shrinkBuffers}).Listen(ctx, "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -56,7 +57,7 @@
 			if err != nil {
 				return
 			}
-			shrinkSendBuffers(netip.MustParseAddrPort(client.RemoteAddr().String()))
+			setSendBuffers(netip.MustParseAddrPort(client.RemoteAddr().String()), sendBuffer)
 			go r.serve(ctx, client)
 		}
 	}()
@@ -106,16 +107,19 @@
 	}
 }
 
-// shrinkSendBuffers limits the send buffers of this process's sockets with the local
-// address. The sockets of gateways are not accessible otherwise.
-func shrinkSendBuffers(addr netip.AddrPort) {
+// setSendBuffers sets the size of the send buffers of this process's sockets with the local
+// address, unless it is 0. The sockets of gateways are not accessible otherwise.
+func setSendBuffers(addr netip.AddrPort, size int) {
+	if size == 0 {
+		return
+	}
 	const maxDescriptor = 1 << 10
 	for fd := range maxDescriptor {
 		local, err := unix.Getsockname(fd)
 		inet, ok := local.(*unix.SockaddrInet4)
 		if err == nil && ok && netip.AddrPortFrom(netip.AddrFrom4(inet.Addr), uint16(inet.Port)) == addr {
 			// An error means that the socket was closed.
-			_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
+			_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, size)
 		}
 	}
 }
--- a/internal/oriolerouter/oriolelink/slow_test.go
+++ b/internal/oriolerouter/oriolelink/slow_test.go
@@ -20,7 +20,12 @@
 // linkOverRelay opens a link from the forwarder to the dispatcher over a relay.
 func linkOverRelay(t *testing.T, forwarder *Links, dispatcher oriole.Member) *relay {
 	t.Helper()
-	r := startRelay(t, dispatcher.PeerAddr)
+	return linkOver(t, startRelay(t, dispatcher.PeerAddr, smallSendBuffer), forwarder, dispatcher)
+}
+
+// linkOver is like linkOverRelay, with the relay.
+func linkOver(t *testing.T, r *relay, forwarder *Links, dispatcher oriole.Member) *relay {
+	t.Helper()
 	dispatcher.PeerAddr = r.addr
 	members := map[oriole.GatewayID]oriole.Member{dispatcher.ID: dispatcher}
 	forwarder.SetMembers(members, members)
@@ -173,7 +178,7 @@
 	t.Parallel()
 	is := is.New(t)
 	links, member, receiver := startLinks(t, "vm.1")
-	member.PeerAddr = startRelay(t, member.PeerAddr).addr
+	member.PeerAddr = startRelay(t, member.PeerAddr, smallSendBuffer).addr
 	conn := dialRaw(t, member, "peer.1")
 	listPeer(links, "peer.1")
 	slow, err := oriolemessage.Encode(&oriolemessage.Frame{Part: &oriolemessage.Part{Number: 1, Body: testBody(partSize)}})
@@ -242,6 +247,43 @@
 	is.True(queued <= 3) // the second frame, a heartbeat, and one that has changed
 }
 
+// TestFinishWaitsWhilePeerTakesBytes guards against an exit of the process while a
+// response that was handed to the system is still on its way to a slow peer.
+func TestFinishWaitsWhilePeerTakesBytes(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	dispatcher, dispatcherMember, receiver := startLinks(t, "dispatcher.1")
+	forwarder, _, _ := startLinks(t, "forwarder.1")
+	linkOver(t, startRelay(t, dispatcherMember.PeerAddr, 0), forwarder, dispatcherMember)
+	responses := forwardSlowly(forwarder, dispatcherMember.ID, false, nil)
+	nextReply(t, receiver, responses)(oriole.Response{Outcome: oriole.OutcomeAnswered, Status: 200, Body: testBody(partSize)})
+	is.NoErr(dispatcher.Finish(context.Background()))
+	select {
+	case resp := <-responses:
+		is.Equal(resp.Status, 200)
+	case <-time.After(100 * time.Millisecond):
+		t.Fatal("the response has not arrived")
+	}
+}
+
+// TestFinishLeavesPeerThatTakesNothing guards against a stop that waits for a peer which
+// does not read.
+func TestFinishLeavesPeerThatTakesNothing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	dispatcher, dispatcherMember, receiver := startLinks(t, "dispatcher.1")
+	forwarder, _, _ := startLinks(t, "forwarder.1")
+	r := linkOver(t, startRelay(t, dispatcherMember.PeerAddr, 0), forwarder, dispatcherMember)
+	responses := forwardSlowly(forwarder, dispatcherMember.ID, false, nil)
+	reply := nextReply(t, receiver, responses)
+	r.stop()
+	reply(oriole.Response{Outcome: oriole.OutcomeAnswered, Status: 200, Body: testBody(partSize)})
+	started := time.Now()
+	is.NoErr(dispatcher.Finish(context.Background()))
+	t.Logf("finished after %v", time.Since(started).Round(10*time.Millisecond))
+	is.True(time.Since(started) < 3*writeTimeout)
+}
+
 // TestLinkToPeerThatTakesNothingEnds guards against a link that stays open although its
 // peer does not read, or has stopped to read.
 func TestLinkToPeerThatTakesNothingEnds(t *testing.T) {
