Links do not end while their peer has taken all that was written

Callers saw: 502, or no response to requests that must not be repeated, where a gateway that lacked the processor took a link for stuck. Cause: the time in which nothing was acknowledged counted also while the peer had acknowledged everything, and the goroutine that writes the frame had not run. Change: observe counts only time in which bytes are not acknowledged. The same holds for the time after which a peer that is silent counts as unresponsive.

--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -91,7 +91,8 @@
 	partials      map[uint64]*partialBody
 	bufferedBytes int
 	// acknowledged is how many bytes the peer had acknowledged when this was last
-	// observed, and acknowledgedAt when the number was last seen to grow.
+	// observed, and acknowledgedAt when the number was last seen to grow, or to be all
+	// that was written.
 	acknowledged   int64
 	acknowledgedAt time.Time
 }
@@ -105,7 +106,8 @@
 	// writtenTo is the number of bytes that were written to the connection up to the end
 	// of the frame, or 0 while it is being written.
 	writtenTo int64
-	// takenUntil is when the peer was last seen to take bytes up to the end of the frame.
+	// takenUntil is when the peer was last seen to take bytes up to the end of the frame,
+	// or to have taken all that was written while the frame was being written.
 	takenUntil time.Time
 	response   chan oriole.Response
 }
@@ -242,14 +244,15 @@
 }
 
 // observe records how much of what was written the peer has acknowledged. If it has
-// acknowledged nothing for writeTimeout while a frame was being written, the write fails
-// and the link ends. Bytes that the system holds while no frame waits are left to TCP,
+// acknowledged nothing of it for writeTimeout while a frame was being written, the write
+// fails and the link ends. Bytes that the system holds while no frame waits are left to TCP,
 // which sends them again for longer.
 func (l *link) observe(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	acknowledged := l.socket.Acknowledged()
-	if acknowledged > l.acknowledged {
+	// A write that waits while the peer has acknowledged everything waits for this process.
+	if acknowledged > l.acknowledged || acknowledged == l.socket.Written() {
 		l.acknowledgedAt = now
 		for _, req := range l.pending {
 			if !req.writtenAt.IsZero() && (req.writtenTo == 0 || req.writtenTo > acknowledged) {
