--- a/internal/oriolerouter/oriolelink/starved_test.go
+++ b/internal/oriolerouter/oriolelink/starved_test.go
@@ -22,6 +22,8 @@
 	forwarder.SetMembers(members, members)
 	awaitReachable(forwarder, dispatcher.ID)
 	l := forwarder.onePerPeer()[0]
+	allTaken := func() bool { return l.socket.Written() > 0 && l.socket.Acknowledged() == l.socket.Written() }
+	is.True(await(func() bool { return l.out.Len() == 0 && l.writingSince.Load() == 0 && allTaken() }))
 	request := &pendingRequest{id: "r", idempotent: true, response: make(chan oriole.Response, 1)}
 	l.mu.Lock()
 	l.pending[1] = request
@@ -34,7 +36,7 @@
 	l.observe(now)
 	is.NoErr(l.conn.Write(context.Background(), websocket.MessageBinary, make([]byte, partSize))) // the link is open
 	later := now.Add(4 * writeTimeout)
-	is.True(await(func() bool { return l.socket.Acknowledged() == l.socket.Written() }))
+	is.True(await(allTaken))
 	l.observe(later)
 	is.True(!l.unresponsive(later)) // the peer has not received the request
 }
