A gateway that ends takes no new links

Callers saw: 502 for requests that crossed the end of a dispatcher on a link that had been opened again. Cause: peers open a link that was closed again after 0.1 s, and the gateway accepted it while it waited for others. Change: once the links of peers are being closed, others are refused with 503. One that was accepted at that moment is closed with the reason 'finished', so that its requests count as not run.

--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -89,8 +89,10 @@
 	// links holds the links that this gateway has opened.
 	links   map[oriole.GatewayID]*link
 	dialers map[oriole.GatewayID]*dialDuty
-	// accepted holds the links that peers have opened.
+	// accepted holds the links that peers have opened. Once closing is set, they are being
+	// closed and none is added.
 	accepted map[*link]bool
+	closing  bool
 }
 
 // New returns the subtree.
@@ -219,6 +221,10 @@
 		w.WriteHeader(http.StatusUnauthorized)
 		return
 	}
+	if p.isClosing() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	hijacked := &hijackWriter{ResponseWriter: w, clock: p.cfg.Timers}
 	conn, err := websocket.Accept(hijacked, r, nil)
 	if err != nil {
@@ -246,15 +252,36 @@
 	// The peer may send requests at once, unless it learns of a drain.
 	_, _, heartbeat := p.tick(p.cfg.Timers.Now())
 	l.out.Offer(&outgoing{frame: p.heartbeatFrame(heartbeat)})
-	p.mu.Lock()
-	p.accepted[l] = true
-	p.mu.Unlock()
+	if !p.addAccepted(l) {
+		// No request on it was taken. An error means that the link has ended.
+		_ = conn.Close(websocket.StatusGoingAway, closeFinished)
+		return
+	}
 	l.serve(ctx, p)
 	p.mu.Lock()
 	delete(p.accepted, l)
 	p.mu.Unlock()
 }
 
+// isClosing reports whether the links that peers have opened are being closed.
+func (p *Links) isClosing() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closing
+}
+
+// addAccepted adds a link that a peer has opened. It reports false if links are being closed:
+// requests on this one would be lost when the process exits.
+func (p *Links) addAccepted(l *link) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closing {
+		return false
+	}
+	p.accepted[l] = true
+	return true
+}
+
 // RejectFrame counts and logs a frame that could not be decoded or accepted.
 func (p *Links) RejectFrame(from oriole.GatewayID, description string, err error) {
 	p.cfg.Metrics.Add("link_frames_refused", 1)
@@ -419,10 +446,11 @@
 	alive bool
 }
 
-// closeAccepted closes the links that peers have opened.
+// closeAccepted closes the links that peers have opened. They can't open others.
 func (p *Links) closeAccepted() (closing []closingLink) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closing = true
 	now := p.cfg.Timers.Now()
 	for l := range p.accepted {
 		done := make(chan struct{})
