An unreadable frame leaves the outcome of requests unknown

Callers saw: nothing so far; a request that must not be repeated could run twice where a gateway could not read a frame of another build. Cause: the reason 'finished' of a close frame says that all requests that the peer has taken are answered, not that the answers could be read. Change: once a frame of the peer could not be read, and was not known to be the response to a certain request, the reason is ignored. Result: go test -race ./internal/oriolerouter/oriolelink passes (20 s), TestUnreadableFrameBeforeEndOfDispatcher with it, which failed before.

--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -69,8 +69,10 @@
 	// heartbeatQueued is set while a periodic heartbeat waits in out.
 	heartbeatQueued atomic.Bool
 
-	// transit measures the delay of the peer's frames. Only the reader uses it.
-	transit transit
+	// transit measures the delay of the peer's frames, and unreadable is set once a frame
+	// could not be read: it may have been a response. Only the reader uses them.
+	transit    transit
+	unreadable bool
 	// unanswered is the number of the peer's requests whose responses have not been
 	// handed to the connection. dropped is set once a response was dropped instead.
 	unanswered atomic.Int64
@@ -138,7 +140,7 @@
 		_ = l.conn.CloseNow()
 	}()
 	err := l.readLoop(ctx, p)
-	reading, finished := ctx.Err() == nil, closedFinished(err)
+	reading, finished := ctx.Err() == nil, closedFinished(err) && !l.unreadable
 	cancel()
 	side := "read"
 	if failed := <-writeErr; reading && !errors.Is(failed, context.Canceled) {
@@ -172,6 +174,8 @@
 			if response, found := oriolemessage.UnreadableResponse(data); found {
 				// The request's caller would wait until the deadline.
 				p.handle(ctx, l, &oriolemessage.Frame{Response: response}, 0)
+			} else {
+				l.unreadable = true
 			}
 			continue
 		}
