A request behind a closing response does not cut it off

Callers saw: connection reset by peer within a response of a gateway that was being stopped, if they had sent a further request on the connection. Cause: where the end of a request was certain, Close looked only at what had been read behind it, not at the socket. net/http reads nothing between the end of a response and Close. Result: go test -race ./internal/oriolerouter/orioleingress passes (25 s), TestRequestBehindClosingResponseDoesNotResetIt 5 of 5 times, which failed before. A request that arrives between this look at the socket and the close of the descriptor can still reset the connection.

--- a/internal/oriolerouter/orioleingress/pipelineconn.go
+++ b/internal/oriolerouter/orioleingress/pipelineconn.go
@@ -467,8 +467,7 @@
 func (c *pipelinedConn) Close() error {
 	c.mu.Lock()
 	if !c.ended {
-		behind := len(c.queue) > 0 || len(c.buf) > 0 || c.phase == phaseEarly || c.refused ||
-			c.phase == phaseUnknown && oriolesocket.Unread(c.Conn) > 0
+		behind := len(c.queue) > 0 || len(c.buf) > 0 || c.phase == phaseEarly || c.refused || oriolesocket.Unread(c.Conn) > 0
 		c.linger = behind && c.readErr == nil && !c.shared.isClosed()
 		c.end()
 		_ = c.discardRest()
