--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -69,8 +69,10 @@
 	// heartbeatQueued is set while a periodic heartbeat waits in out.
 	heartbeatQueued atomic.Bool
 
-	// transit measures the delay of the peer's frames. Only the reader uses it.
-	transit transit
+	// transit measures the delay of the peer's frames, and unreadable is set once a frame
+	// could not be read: it may have been a response. Only the reader uses them.
+	transit    transit
+	unreadable bool
 	// unanswered is the number of the peer's requests whose responses have not been
 	// handed to the connection. dropped is set once a response was dropped instead.
 	unanswered atomic.Int64
@@ -90,7 +92,9 @@
 	// their total size.
 	partials      map[uint64]*partialBody
 	bufferedBytes int
-	progress      progress
+	// progress is that of the peer, which counts as such also while it has taken all that
+	// was written.
+	progress progress
 }
 
 // pendingRequest is a forwarded request that is not answered yet.
@@ -102,7 +106,8 @@
 	// writtenTo is the number of bytes that were written to the connection up to the end
 	// of the frame, or 0 while it is being written.
 	writtenTo int64
-	// takenUntil is when the peer was last seen to take bytes up to the end of the frame.
+	// takenUntil is when the peer was last seen to take bytes up to the end of the frame,
+	// or to have taken all that was written while the frame was being written.
 	takenUntil time.Time
 	response   chan oriole.Response
 }
@@ -133,7 +138,7 @@
 		_ = l.conn.CloseNow()
 	}()
 	err := l.readLoop(ctx, p)
-	reading, finished := ctx.Err() == nil, closedFinished(err)
+	reading, finished := ctx.Err() == nil, closedFinished(err) && !l.unreadable
 	cancel()
 	side := "read"
 	if failed := <-writeErr; reading && !errors.Is(failed, context.Canceled) {
@@ -167,6 +172,8 @@
 			if response, found := oriolemessage.UnreadableResponse(data); found {
 				// The request's caller would wait until the deadline.
 				p.handle(ctx, l, &oriolemessage.Frame{Response: response}, 0)
+			} else {
+				l.unreadable = true
 			}
 			continue
 		}
@@ -239,14 +246,16 @@
 }
 
 // observe records how much of what was written the peer has acknowledged. If it has
-// acknowledged nothing for writeTimeout while a frame was being written, the write fails
-// and the link ends. Bytes that the system holds while no frame waits are left to TCP,
+// acknowledged nothing of it for writeTimeout while a frame was being written, the write
+// fails and the link ends. Bytes that the system holds while no frame waits are left to TCP,
 // which sends them again for longer.
 func (l *link) observe(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	acknowledged := l.socket.Acknowledged()
-	if l.progress.observe(now, acknowledged) {
+	// A write that waits while the peer has acknowledged everything waits for this process.
+	if l.progress.observe(now, acknowledged) || acknowledged == l.socket.Written() {
+		l.progress.at = now
 		for _, req := range l.pending {
 			if !req.writtenAt.IsZero() && (req.writtenTo == 0 || req.writtenTo > acknowledged) {
 				req.takenUntil = now
