Links that were replaced are observed until they end

Callers saw: no response until the deadline for requests on a link that was replaced by another one, if its peer took nothing any more. Cause: the heartbeat duty looked only at the last link with each peer. Change: Links keeps all links that it has opened until they end; the duty ends those that are stuck, and gives up idempotent requests on those whose peer is silent. Requests, frames and heartbeats go over the last one, as before.

--- a/internal/oriolerouter/oriolelink/heartbeat.go
+++ b/internal/oriolerouter/oriolelink/heartbeat.go
@@ -89,7 +89,7 @@
 			p.liveness.RecordFrame(at, l.peer)
 		}
 	}
-	for _, l := range p.links {
+	for l := range p.opened {
 		record(l)
 	}
 	for l := range p.accepted {
@@ -136,7 +136,7 @@
 func (p *Links) openLinks() []*link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return slices.AppendSeq(slices.Collect(maps.Values(p.links)), maps.Keys(p.accepted))
+	return slices.AppendSeq(slices.Collect(maps.Keys(p.opened)), maps.Keys(p.accepted))
 }
 
 func (p *Links) shouldHeartbeat(peer oriole.GatewayID) bool {
@@ -186,14 +186,14 @@
 	if p.liveness.Stalled(now) {
 		return
 	}
-	for id, l := range p.links {
+	for l := range p.opened {
 		silent := l.unresponsive(now)
-		if !silent && !p.liveness.Failed(id) {
+		if !silent && !p.liveness.Failed(l.peer) {
 			continue
 		}
 		if failed := l.failIdempotent(); failed > 0 {
 			p.cfg.Log.WithFields(log.Fields{
-				"peer": id, "requests": failed, "silent": silent, "heard": now.Sub(l.socket.ReadAt()).String(),
+				"peer": l.peer, "requests": failed, "silent": silent, "heard": now.Sub(l.socket.ReadAt()).String(),
 			}).Info(oriolelog.MessagePeerUnresponsive)
 		}
 	}
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -86,8 +86,10 @@
 	cfg      Config
 	mu       sync.Mutex
 	liveness *orioleliveness.Detector
-	// links holds the links that this gateway has opened.
+	// links holds the last link with each peer that this gateway has opened, and opened all
+	// of these that have not ended.
 	links   map[oriole.GatewayID]*link
+	opened  map[*link]bool
 	dialers map[oriole.GatewayID]*dialDuty
 	// accepted holds the links that peers have opened. Once closing is set, they are being
 	// closed and none is added.
@@ -102,6 +104,7 @@
 		cfg:        cfg,
 		liveness:   orioleliveness.New(cfg.Timers.Now(), cfg.Self),
 		links:      make(map[oriole.GatewayID]*link),
+		opened:     make(map[*link]bool),
 		dialers:    make(map[oriole.GatewayID]*dialDuty),
 		accepted:   make(map[*link]bool),
 	}
@@ -541,11 +544,12 @@
 	l.out.Offer(&outgoing{frame: &oriolemessage.Frame{Hello: oriolemessage.FromMember(self)}})
 	l.out.Offer(&outgoing{frame: p.heartbeatFrame(heartbeat)})
 	p.mu.Lock()
-	p.links[d.to.ID] = l
+	p.links[d.to.ID], p.opened[l] = l, true
 	p.liveness.RecordFrame(p.cfg.Timers.Now(), d.to.ID)
 	p.mu.Unlock()
 	l.serve(ctx, p)
 	p.mu.Lock()
+	delete(p.opened, l)
 	if p.links[d.to.ID] == l {
 		delete(p.links, d.to.ID)
 	}
