--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -252,6 +252,11 @@
 func (l *link) observe(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	since := l.writingSince.Load()
+	if since == 0 && len(l.pending) == 0 {
+		// Most links are idle at most ticks; a measure is a system call.
+		return
+	}
 	acknowledged := l.socket.Acknowledged()
 	// A write that waits while the peer has acknowledged everything waits for this process.
 	if l.progress.observe(now, acknowledged) || acknowledged == l.socket.Written() {
@@ -262,7 +267,6 @@
 			}
 		}
 	}
-	since := l.writingSince.Load()
 	if since == 0 || now.Sub(time.Unix(0, since)) < writeTimeout || now.Sub(l.progress.at) < writeTimeout {
 		return
 	}
