Bodies that callers give up on are freed at the peer

Callers saw: 503 for requests with bodies over 256 KiB, for up to a minute, on links on which other callers had given up such requests. Cause: no frame told the peer that the rest of a body would not come. Change: a cancellation is written in place of the request, and the peer drops the parts that it holds. Parts of a request that does not fit into the ring as a whole are still kept.

--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -200,8 +200,9 @@
 	}
 }
 
-// write writes one frame. It skips a frame that is too large to encode, and a
-// request that its caller has given up on.
+// write writes one frame. It skips a frame that is too large to encode. Instead of a
+// request that its caller has given up on, it writes a cancellation if the peer may hold
+// parts of the body.
 func (l *link) write(ctx context.Context, p *Links, out *outgoing) error {
 	frame := out.frame
 	// While it is written, its encoding takes as much again: one frame of each link.
@@ -221,7 +222,13 @@
 		return nil
 	}
 	if frame.Request != nil && !l.markWritten(frame.Request.Number) {
-		return nil
+		if len(frame.Request.Body) == 0 {
+			return nil
+		}
+		frame = &oriolemessage.Frame{Cancel: &oriolemessage.Cancel{Number: frame.Request.Number}}
+		if data, err = (&outgoing{frame: frame}).encode(p.cfg.Clock); err != nil {
+			return nil
+		}
 	}
 	p.cfg.Metrics.Add("link_bytes_out", int64(len(data)))
 	p.cfg.Metrics.Add("link_bytes_"+frame.Kind(), int64(len(data)))
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -314,6 +314,7 @@
 	case frame.Request != nil:
 		p.handleRequest(ctx, l, frame.Request, delay)
 	case frame.Cancel != nil:
+		l.dropPartial(frame.Cancel.Number)
 		l.stopServing(frame.Cancel.Number)
 	case frame.Heartbeat != nil:
 		p.recordReport(l.peer, frame.Heartbeat)
--- a/internal/oriolerouter/oriolelink/part.go
+++ b/internal/oriolerouter/oriolelink/part.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// dropExpired frees bodies whose senders gave up before the last part; no frame
-// reports that. l.mu must be held.
+// dropExpired frees bodies whose senders gave up before the last part, and did not report
+// it. l.mu must be held.
 func (l *link) dropExpired(now time.Time) {
 	for _, partial := range l.partials {
 		if now.Sub(partial.startedAt) > maxPartialAge {
@@ -138,6 +138,16 @@
 	return bytes.Join(append(partial.parts, tail), nil), partial.hold.Reset, !partial.dropped
 }
 
+// dropPartial frees the incomplete body of a request that its caller has given up on.
+func (l *link) dropPartial(number uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if partial := l.partials[number]; partial != nil {
+		l.dropBody(partial)
+		delete(l.partials, number)
+	}
+}
+
 // dropPartials frees all incomplete bodies of a link that has ended. l.mu must be held.
 func (l *link) dropPartials() {
 	for _, partial := range l.partials {
