Test of parts of responses that nobody waits for

Cause: parts of a response whose caller has left are kept until its last part arrives. It may never come: the peer drops the rest of a response that does not fit into its ring once it learns that the caller has left. The parts then count towards what the link buffers for maxPartialAge. Change: a test. Result, go test -race -run Abandoned ./internal/oriolerouter/oriolelink:

abandoned_test.go:63: 524288 != 0 --- FAIL: TestResponseToAbandonedRequestIsNotKept (0.02s)

--- a/internal/oriolerouter/oriolelink/abandoned_test.go
+++ b/internal/oriolerouter/oriolelink/abandoned_test.go
@@ -1,6 +1,7 @@
 package oriolelink
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -33,3 +34,32 @@
 	is.Equal(accepted.bufferedBytes, 0)
 	is.Equal(len(accepted.partials), 0)
 }
+
+// TestResponseToAbandonedRequestIsNotKept guards against responses that are lost for up to
+// maxPartialAge, because parts of others, whose callers have left, fill the link's buffer.
+func TestResponseToAbandonedRequestIsNotKept(t *testing.T) {
+	is := is.New(t)
+	_, dispatcherMember, receiver := startLinks(t, "dispatcher.1")
+	forwarder, _, _ := startLinks(t, "forwarder.1")
+	members := map[oriole.GatewayID]oriole.Member{dispatcherMember.ID: dispatcherMember}
+	forwarder.SetMembers(members, members)
+	awaitReachable(forwarder, dispatcherMember.ID)
+	l := forwarder.onePerPeer()[0]
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan oriole.Response, 1)
+	go func() {
+		ended <- forwarder.Forward(ctx, dispatcherMember.ID, oriole.Request{ID: "r", Pool: oriole.PoolID{Service: "s"}, Method: "GET", Deadline: time.Now().Add(time.Minute)})
+	}()
+	<-receiver.replies
+	number := l.lastNumber.Load()
+	part := &oriolemessage.Part{Number: number, Body: testBody(partSize)}
+	l.addPart(part, time.Now())
+	is.Equal(l.bufferedBytes, partSize)
+	cancel()
+	<-ended
+	l.addPart(part, time.Now()) // it was on its way
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	is.Equal(l.bufferedBytes, 0)
+	is.Equal(len(l.partials), 0)
+}
