Requests at silent peers are given up only for another attempt

Cause: a peer on which nothing arrives for 1.1 s counts as unresponsive, and all idempotent requests at it were failed so that they could be retried. Where no attempt or no budget was left, they were failed for nothing. Change: the forwarder says for each request whether it will be tried again, and draws on the budget then; others wait for the response, until the peer has been silent for 3.3 s.

--- a/internal/oriolerouter/orioleingress/forwarder.go
+++ b/internal/oriolerouter/orioleingress/forwarder.go
@@ -167,11 +167,12 @@
 		if oriolelog.Sampled(r.ID, oriolelog.SampleOneIn) {
 			f.cfg.Log.WithFields(f.routingFields(r, dispatcher, attempt)).Info(oriolelog.MessageRouted)
 		}
+		r.MayRetry = f.retryOfLost(r, maxAttempts-(attempt-tried.givenBack))
 		resp := f.run(ctx, dispatcher, r)
 		f.logAttempt(r, dispatcher, resp, attempt)
 		mayHaveRun = mayHaveRun || resp.Outcome == oriole.OutcomeUnknown
 		givenBack := tried.countGivenBack(dispatcher, resp)
-		if !f.shouldRetry(ctx, r, resp, attempt, maxAttempts, givenBack, tried.givenBack) {
+		if !f.shouldRetry(ctx, r, resp, attempt, givenBack, tried.givenBack) {
 			return finalResponse(resp, mayHaveRun)
 		}
 		f.cfg.Metrics.Add("entry_again_"+resp.Reason.String(), 1)
@@ -348,7 +349,7 @@
 
 // shouldRetry reports whether to send the request again. givenBack tells whether the last
 // attempt ended as the dispatcher gave the request back, and allGivenBack how many did.
-func (f *Forwarder) shouldRetry(ctx context.Context, r oriole.Request, resp oriole.Response, attempt, maxAttempts int, givenBack bool, allGivenBack int) bool {
+func (f *Forwarder) shouldRetry(ctx context.Context, r oriole.Request, resp oriole.Response, attempt int, givenBack bool, allGivenBack int) bool {
 	remaining := r.Deadline.Sub(f.cfg.Clock.Now())
 	if ctx.Err() != nil || remaining < minTimeToRetry {
 		return false
@@ -361,7 +362,7 @@
 	case oriole.OutcomeAnswered:
 		return false
 	case oriole.OutcomeUnknown:
-		return r.Idempotent && attempt < maxAttempts && resp.Reason != oriole.ReasonDeadline && f.timeLeft(r) >= minTimeToRetry && f.budget.withdraw(r.Service)
+		return resp.Reason != oriole.ReasonDeadline && r.MayRetry()
 	}
 	switch resp.Reason {
 	case oriole.ReasonPaused:
@@ -374,6 +375,19 @@
 	return false
 }
 
+// retryOfLost returns a function that reports whether an attempt at the request is followed
+// by another if it is lost, of which attemptsLeft may follow. The retry draws on the budget
+// once.
+func (f *Forwarder) retryOfLost(r oriole.Request, attemptsLeft int) func() bool {
+	var withdrawn atomic.Bool
+	return func() bool {
+		if !withdrawn.Load() {
+			withdrawn.Store(r.Idempotent && attemptsLeft > 0 && f.timeLeft(r) >= minTimeToRetry && f.budget.withdraw(r.Service))
+		}
+		return withdrawn.Load()
+	}
+}
+
 // timeLeft returns the time to the request's deadline, or to the end of this gateway's stop.
 func (f *Forwarder) timeLeft(r oriole.Request) time.Duration {
 	return f.schedule.Load().Bound(r.Deadline).Sub(f.cfg.Clock.Now())
--- a/internal/oriolerouter/oriolelink/heartbeat.go
+++ b/internal/oriolerouter/oriolelink/heartbeat.go
@@ -191,7 +191,7 @@
 		if !silent && !p.liveness.Failed(l.peer) {
 			continue
 		}
-		if failed := l.failIdempotent(); failed > 0 {
+		if failed := l.failIdempotent(now); failed > 0 {
 			p.cfg.Log.WithFields(log.Fields{
 				"peer": l.peer, "requests": failed, "silent": silent, "heard": now.Sub(l.socket.ReadAt()).String(),
 			}).Info(oriolelog.MessagePeerUnresponsive)
--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -26,6 +26,10 @@
 	// writeTimeout is how long a peer may take nothing while a frame is written to it. A
 	// frame may take longer: the bandwidth is shared by many links.
 	writeTimeout = time.Second
+	// lostTimeout is how long a peer must be silent for requests to be given up that are not
+	// tried again: their callers do better to ask again themselves. Peers that lack the
+	// processor or share a narrow link are silent for less.
+	lostTimeout = 3 * orioleliveness.SilenceTimeout
 )
 
 // outgoing is a frame that is queued on one or more links. It is encoded once.
@@ -101,6 +105,7 @@
 type pendingRequest struct {
 	id         string
 	idempotent bool
+	mayRetry   func() bool
 	// writtenAt is when the frame was handed to the connection, or zero.
 	writtenAt time.Time
 	// writtenTo is the number of bytes that were written to the connection up to the end
@@ -297,7 +302,7 @@
 // now by the clock with which the peer compares its own.
 func (l *link) forward(ctx context.Context, r oriole.Request, now, sentAt time.Time) oriole.Response {
 	number := l.lastNumber.Add(1)
-	req := &pendingRequest{id: r.ID, idempotent: r.Idempotent, response: make(chan oriole.Response, 1)}
+	req := &pendingRequest{id: r.ID, idempotent: r.Idempotent, mayRetry: r.MayRetry, response: make(chan oriole.Response, 1)}
 	l.mu.Lock()
 	if l.closed {
 		l.mu.Unlock()
@@ -418,13 +423,14 @@
 }
 
 // failIdempotent fails the idempotent requests that wait for an unresponsive
-// peer, so that they can be retried elsewhere. Other requests keep waiting: the
-// peer may only be paused, and its response is better than an unknown outcome.
-func (l *link) failIdempotent() (failed int) {
+// peer and are retried elsewhere, or whose peer has been silent for lostTimeout. Other
+// requests keep waiting: the peer may only be slow or paused, and its response is better
+// than an unknown outcome.
+func (l *link) failIdempotent(now time.Time) (failed int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for number, req := range l.pending {
-		if req.idempotent {
+		if req.idempotent && (req.mayRetry == nil || l.silence(now, req) > lostTimeout || req.mayRetry()) {
 			delete(l.pending, number)
 			l.removePartial(number)
 			req.response <- oriole.UnknownResponse(oriole.ReasonConnection)
@@ -434,6 +440,11 @@
 	return failed
 }
 
+// silence returns for how long the peer has owed a sign of life for the request.
+func (l *link) silence(now time.Time, req *pendingRequest) time.Duration {
+	return min(now.Sub(l.socket.ReadAt()), now.Sub(req.writtenAt), now.Sub(req.takenUntil))
+}
+
 // unresponsive reports whether no byte was received on the link for longer than
 // the silence timeout while a request was pending. A peer that runs requests
 // received on a link sends heartbeats on that link, but not before it has
@@ -441,12 +452,8 @@
 func (l *link) unresponsive(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.socket.ReadAt()) <= orioleliveness.SilenceTimeout {
-		return false
-	}
 	for _, req := range l.pending {
-		if !req.writtenAt.IsZero() && now.Sub(req.writtenAt) > orioleliveness.SilenceTimeout &&
-			now.Sub(req.takenUntil) > orioleliveness.SilenceTimeout {
+		if !req.writtenAt.IsZero() && l.silence(now, req) > orioleliveness.SilenceTimeout {
 			return true
 		}
 	}
--- a/pkg/oriole/request.go
+++ b/pkg/oriole/request.go
@@ -136,6 +136,10 @@
 	AdmittedBy ConfigVersion
 	Workspace  WorkspaceName
 	Key        KeyDigest
+	// MayRetry reports whether an idempotent request is sent once more if the dispatcher
+	// that it was forwarded to falls silent. Nil means that it is. It is not sent to other
+	// gateways.
+	MayRetry func() bool
 }
 
 // RateLimit is what an upstream's response header says of the rate at which the upstream
