Requests that a stop can't wait for get an answer

Cause: requests taken before the stop may have deadlines after its end. Those still open then were cut with their connections. Change: 0.1 s before the cut, the forwarder gives up what is not answered: 503 as draining if it has not run, 502 otherwise. Result: TestStopLeavesRequestsWithoutAnAnswer failed before: [90moverlap_test.go:181: [39m0 != 502 overlap_test.go:169: Post "http://127.0.0.1:45917/": EOF and passes now, with the tests of the router whose names have Drain or Overlap, and the packages orioleingress and oriolestop, go test -race.

--- a/internal/oriolerouter/orioleingress/forwarder.go
+++ b/internal/oriolerouter/orioleingress/forwarder.go
@@ -105,6 +105,9 @@
 	schedule  atomic.Pointer[oriolestop.Schedule]
 	stopping  context.Context
 	beginStop context.CancelFunc
+	// ending is done when requests that are not answered yet are given up.
+	ending context.Context
+	giveUp context.CancelFunc
 
 	mu         sync.Mutex
 	loadCounts map[oriole.ServiceName]map[int]int
@@ -122,6 +125,7 @@
 		rejectedLines: rate.NewLimiter(rejectedLinesPerSecond, rejectedLinesBurst),
 	}
 	f.stopping, f.beginStop = context.WithCancel(context.Background())
+	f.ending, f.giveUp = context.WithCancel(context.Background())
 	return f
 }
 
@@ -131,6 +135,10 @@
 	f.beginStop()
 }
 
+// GiveUp ends the requests that are not answered yet, so that their callers get an answer
+// before the gateway ends.
+func (f *Forwarder) GiveUp() { f.giveUp() }
+
 // admits reports whether a request with the deadline may be passed on.
 func (f *Forwarder) admits(deadline time.Time) bool { return f.schedule.Load().Admits(deadline) }
 
@@ -142,6 +150,7 @@
 	defer cancel()
 	attempts := 0
 	defer func() { f.logEnd(r, final, attempts, start) }()
+	defer context.AfterFunc(f.ending, cancel)()
 	f.countLoad(r)
 	f.budget.deposit(r.Service)
 	mayHaveRun := false
@@ -172,6 +181,9 @@
 		f.logAttempt(r, dispatcher, resp, attempt)
 		mayHaveRun = mayHaveRun || resp.Outcome == oriole.OutcomeUnknown
 		givenBack := tried.countGivenBack(dispatcher, resp)
+		if f.ending.Err() != nil && resp.Reason == oriole.ReasonCancelled {
+			resp.Reason, resp.RetryAfter = oriole.ReasonDraining, drainRetryAfter
+		}
 		if !f.shouldRetry(ctx, r, resp, attempt, givenBack, tried.givenBack) {
 			return finalResponse(resp, mayHaveRun)
 		}
--- a/internal/oriolerouter/overlap_test.go
+++ b/internal/oriolerouter/overlap_test.go
@@ -143,3 +143,40 @@
 	}
 	stops.Wait()
 }
+
+// TestStopLeavesRequestsWithoutAnAnswer guards against closing the connection of a request that was taken before the stop and is not answered at its end.
+func TestStopLeavesRequestsWithoutAnAnswer(t *testing.T) {
+	is := is.New(t)
+	store, checker := standin.NewStore(), standin.NewChecker()
+	putConfig(t, store, "s", map[string]time.Duration{"/": time.Minute})
+	_, cleanup, err := standin.NewUpstream(checker, store, "u", "s", "z", netip.AddrPort{}, standin.WithRequestDuration(time.Minute))
+	is.NoErr(err)
+	defer cleanup()
+	r, settings, stop := startRouter(t, store, func(d oriole.Directory) oriole.Directory { return d })
+	for !r.Ready() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	statuses := make(chan int, 1)
+	go func() {
+		req, err := http.NewRequest(http.MethodPost, "http://"+settings.CallerAddr.String()+"/", strings.NewReader("x"))
+		if err != nil {
+			t.Error(err)
+		}
+		req.Host = "h"
+		req.Header = standin.CallerHeader("id", 1, time.Minute)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Error(err)
+			statuses <- 0
+			return
+		}
+		_ = resp.Body.Close()
+		statuses <- resp.StatusCode
+	}()
+	for checker.Runs("id") == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	_ = r.Drain(context.Background())
+	_ = stop() // as in a process that exits after it has drained
+	is.Equal(<-statuses, http.StatusBadGateway)
+}
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -377,6 +377,8 @@
 	r.log.Info(oriolelog.MessageDraining)
 	r.callerServer.DisableKeepAlives()
 	r.forwarder.Stop(schedule)
+	giveUp := time.AfterFunc(schedule.GiveUpAt.Sub(r.timers.Now()), r.forwarder.GiveUp)
+	defer giveUp.Stop()
 	r.dispatcher.Stop(schedule)
 	if !r.draining.Swap(true) {
 		close(r.drainStarted)
--- a/pkg/oriole/oriolestop/stop.go
+++ b/pkg/oriole/oriolestop/stop.go
@@ -16,6 +16,9 @@
 	// answerReserve is the time left to write responses that arrive at the
 	// deadlines of their requests.
 	answerReserve = 250 * time.Millisecond
+	// refusalReserve is the part of answerReserve that is left to write the gateway's own
+	// answers to requests that got none.
+	refusalReserve = 100 * time.Millisecond
 	// noticeTime is how long after the begin of a stop other gateways may learn of it.
 	noticeTime = 500 * time.Millisecond
 	// DutyTimeout is how long the process waits for its duties to end, and
@@ -37,6 +40,8 @@
 	// AnswerUntil is until when upstreams may work on requests, if that is known
 	// when the requests are passed on.
 	AnswerUntil time.Time
+	// GiveUpAt is when requests that are not answered yet get an answer of the gateway's own.
+	GiveUpAt time.Time
 	// CutAt is when the connections that remain are closed.
 	CutAt time.Time
 	// CloseUntil is until when peers may confirm that their connections are closed.
@@ -51,6 +56,7 @@
 		start:       start,
 		ListenUntil: start.Add(min(readinessPropagation, gracePeriod-exitReserve-answerReserve)),
 		AnswerUntil: start.Add(gracePeriod - exitReserve - answerReserve),
+		GiveUpAt:    start.Add(gracePeriod - exitReserve - refusalReserve),
 		CutAt:       start.Add(gracePeriod - exitReserve),
 		CloseUntil:  start.Add(gracePeriod - exitReserve + CloseTimeout),
 	}
--- a/pkg/oriole/oriolestop/stop_test.go
+++ b/pkg/oriole/oriolestop/stop_test.go
@@ -59,7 +59,8 @@
 		schedule := oriolestop.New(start, grace)
 		is.True(schedule.ListenUntil.After(start))
 		is.True(!schedule.ListenUntil.After(schedule.AnswerUntil))
-		is.True(schedule.AnswerUntil.Before(schedule.CutAt))
+		is.True(schedule.AnswerUntil.Before(schedule.GiveUpAt))
+		is.True(schedule.GiveUpAt.Before(schedule.CutAt))
 		is.True(schedule.CutAt.Before(schedule.CloseUntil))
 		is.True(schedule.CloseUntil.Add(oriolestop.DutyTimeout + oriolestop.FlushTimeout).Before(start.Add(grace)))
 	}
