--- a/review/review2/main.go
+++ b/review/review2/main.go
@@ -8,11 +8,15 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // cases holds the cases by name. Each reports whether the rule held.
 var cases = map[string]func(s *site, trouble bool) (held bool, err error){
-	"silent-links": silentLinks,
+	"silent-links":    silentLinks,
+	"crowd-of-bodies": crowdOfBodies,
+	"crowd-of-fields": crowdOfFields,
 }
 
 const (
@@ -47,5 +51,12 @@
 	if err != nil {
 		return false, err
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-signals
+		s.stop()
+		os.Exit(statusNotRun)
+	}()
 	return cases[args[0]](s, os.Getenv("TROUBLE") != "0")
 }
--- a/review/review2/network.go
+++ b/review/review2/network.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -13,7 +14,14 @@
 	to       string
 
 	mu    sync.Mutex
-	conns []*net.TCPConn
+	pairs []*pair
+}
+
+// pair is a connection that was accepted, and the one that it is relayed to.
+type pair struct {
+	conns [2]*net.TCPConn
+	// silent is set once nothing passes any more.
+	silent atomic.Bool
 }
 
 // newNetwork returns a relay to the address, and the address that it listens on.
@@ -48,45 +56,69 @@
 		_ = from.Close()
 		return
 	}
-	to := conn.(*net.TCPConn)
+	p := &pair{conns: [2]*net.TCPConn{from, conn.(*net.TCPConn)}}
 	n.mu.Lock()
-	n.conns = append(n.conns, from, to)
+	n.pairs = append(n.pairs, p)
 	n.mu.Unlock()
-	pipe := func(a, b *net.TCPConn) {
-		_, _ = b.ReadFrom(a)
-		_ = a.Close()
-		_ = b.Close()
+	go p.pipe(0, 1)
+	p.pipe(1, 0)
+}
+
+// pipe copies from one connection to the other. The end of a silent one passes neither.
+func (p *pair) pipe(from, to int) {
+	buf := make([]byte, 32<<10)
+	for {
+		count, err := p.conns[from].Read(buf)
+		if p.silent.Load() {
+			if err != nil {
+				return
+			}
+			continue
+		}
+		if err == nil {
+			_, err = p.conns[to].Write(buf[:count])
+		}
+		if err != nil {
+			_ = p.conns[from].Close()
+			_ = p.conns[to].Close()
+			return
+		}
 	}
-	go pipe(from, to)
-	pipe(to, from)
 }
 
 // maxTTL is the greatest time to live of a packet. Those of the machine itself have less.
 const maxTTL = 255
 
-// silence makes the open connections drop all packets that arrive on them from now on, as
-// if the network had lost its state of them: neither side gets a byte, an acknowledgement
-// or a reset. New connections work.
-func (n *network) silence() (silenced int, err error) {
+// silence makes the open connections drop all that arrives on them from now on, as if the
+// network had lost its state of them: neither side gets a byte or a reset, nor an
+// acknowledgement where the system has the socket option. New connections work. It returns
+// the number of connections, and whether they acknowledge nothing either.
+func (n *network) silence() (silenced int, whole bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, conn := range n.conns {
-		raw, err := conn.SyscallConn()
-		if err != nil {
-			continue
-		}
-		var failed error
-		if raw.Control(func(fd uintptr) { failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_IP, ipMinTTL, maxTTL) }) != nil {
-			// It is closed.
-			continue
+	whole = true
+	for _, p := range n.pairs {
+		p.silent.Store(true)
+		open := 0
+		for _, conn := range p.conns {
+			raw, err := conn.SyscallConn()
+			if err != nil {
+				continue
+			}
+			var failed error
+			if raw.Control(func(fd uintptr) { failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_IP, ipMinTTL, maxTTL) }) != nil {
+				// It is closed.
+				continue
+			}
+			open++
+			whole = whole && failed == nil
 		}
-		if failed != nil {
-			return silenced, failed
+		if open == len(p.conns) {
+			silenced++
 		}
-		silenced++
 	}
-	n.conns = nil
-	return silenced / 2, nil
+	n.pairs = nil
+	return silenced, whole
 }
 
 // ipMinTTL is the socket option IP_MINTTL, by which packets with a lower time to live are
--- a/review/review2/silent.go
+++ b/review/review2/silent.go
@@ -87,17 +87,17 @@
 	time.Sleep(time.Until(at))
 	if trouble {
 		for _, n := range networks {
-			silenced, err := n.silence()
-			if err != nil {
-				return false, err
-			}
-			s.log("%d connections to one gateway are silent from now on", silenced)
+			silenced, whole := n.silence()
+			s.log("%d connections to one gateway are silent from now on, without acknowledgements: %v", silenced, whole)
 		}
 	}
 	wait.Wait()
 	s.say("before: %v", &before)
 	s.say("in the %v after: %v", recoveryTime, &during)
 	s.say("in the next %v: %v", judgedTime, &after)
+	for _, violation := range s.checker.Violations() {
+		s.say("the upstreams saw: %s", violation)
+	}
 	if before.share() < servedShare {
 		return false, fmt.Errorf("not served before either: %v", &before)
 	}
--- a/review/review2/site.go
+++ b/review/review2/site.go
@@ -36,6 +36,7 @@
 	began     time.Time
 	store     netip.AddrPort
 	registry  *standin.RemoteStore
+	checker   *standin.Checker
 	gateways  []*gateway
 	processes []*exec.Cmd
 	stops     []func()
@@ -45,9 +46,9 @@
 
 // gateway is a gateway process.
 type gateway struct {
-	vm                    string
-	callers, ready, peers netip.AddrPort
-	process               *os.Process
+	vm, settings   string
+	callers, ready netip.AddrPort
+	process        *os.Process
 	// isReady is what the platform's last check of its readiness found; site.mu guards it.
 	isReady bool
 }
@@ -127,6 +128,8 @@
 	if err := cmd.Start(); err != nil {
 		return nil, err
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.processes = append(s.processes, cmd)
 	return cmd.Process, nil
 }
@@ -136,7 +139,10 @@
 	for _, stop := range s.stops {
 		stop()
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, cmd := range s.processes {
+		// It may have ended.
 		_ = cmd.Process.Kill()
 		_ = cmd.Wait()
 	}
@@ -146,10 +152,10 @@
 
 // startUpstreams starts upstreams that are placed in the zones in turn.
 func (s *site) startUpstreams(n int, work time.Duration, zones ...string) error {
-	checker := standin.NewChecker()
+	s.checker = standin.NewChecker()
 	for i := range n {
 		id := service + "-" + strconv.Itoa(i)
-		_, stop, err := standin.NewUpstream(checker, s.registry, id, service, zones[i%len(zones)], netip.AddrPort{},
+		_, stop, err := standin.NewUpstream(s.checker, s.registry, id, service, zones[i%len(zones)], netip.AddrPort{},
 			standin.WithSharding(), standin.WithRequestDuration(work),
 			standin.WithRecorder(func(r *http.Request) { s.log("run %s by %s", r.Header.Get("X-Attempt-Id"), id) }))
 		if err != nil {
@@ -184,11 +190,10 @@
 	if err := os.WriteFile(path, data, 0o600); err != nil {
 		return err
 	}
-	process, err := s.start(vm, "target/orioleswitch", "run", "--settings", path)
-	if err != nil {
+	g := &gateway{vm: vm, callers: a[0], ready: a[1], settings: path}
+	if err := s.restart(g); err != nil {
 		return err
 	}
-	g := &gateway{vm: vm, callers: a[0], ready: a[1], peers: a[2], process: process}
 	s.gateways = append(s.gateways, g)
 	if err := s.retry("wait for "+vm, func() error {
 		if !answers(g.ready) {
@@ -202,6 +207,12 @@
 	return nil
 }
 
+// restart starts the gateway's process.
+func (s *site) restart(g *gateway) (err error) {
+	g.process, err = s.start(g.vm, "target/orioleswitch", "run", "--settings", g.settings)
+	return err
+}
+
 // checkReadiness asks the gateway once a second whether it is ready, as the platform does.
 func (s *site) checkReadiness(g *gateway) {
 	for misses := 0; ; time.Sleep(time.Second) {
