--- a/review/review2/main.go
+++ b/review/review2/main.go
@@ -17,6 +17,7 @@
 	"silent-links":    silentLinks,
 	"crowd-of-bodies": crowdOfBodies,
 	"crowd-of-fields": crowdOfFields,
+	"chunked-answers": chunkedAnswers,
 }
 
 const (
--- a/review/review2/silent.go
+++ b/review/review2/silent.go
@@ -120,43 +120,52 @@
 		if left <= 0 {
 			return false
 		}
-		status, retryAfter := s.send(method, path, s.entry(client, try), n, left)
-		if status == http.StatusOK {
+		a := s.send(method, path, s.entry(client, try), n, left)
+		if a.status == http.StatusOK {
 			return true
 		}
-		if status != http.StatusServiceUnavailable {
+		if a.status != http.StatusServiceUnavailable {
 			return false
 		}
-		time.Sleep(min(retryAfter, left/3))
+		time.Sleep(min(a.retryAfter, left/3))
 	}
 	return false
 }
 
-// send sends one request on a new connection, and returns the status, or 0 if there is none.
-func (s *site) send(method, path string, to *gateway, n int, deadline time.Duration) (status int, retryAfter time.Duration) {
-	id := "a" + strconv.FormatInt(lastRequest.Add(1), 10)
+// answer is what a client got for a request. The status is 0 if there was no answer.
+type answer struct {
+	id, body, signature string
+	status              int
+	retryAfter          time.Duration
+}
+
+// send sends one request on a new connection.
+func (s *site) send(method, path string, to *gateway, n int, deadline time.Duration) (a answer) {
+	a.id = "a" + strconv.FormatInt(lastRequest.Add(1), 10)
 	key := strconv.Itoa(n * 7919 % 65536)
 	req, err := http.NewRequest(method, "http://"+to.callers.String()+path+strconv.Itoa(n), nil)
 	if err != nil {
-		return 0, 0
+		return a
 	}
 	req.Host, req.Close = host, true
-	req.Header.Set("X-Attempt-Id", id)
+	req.Header.Set("X-Attempt-Id", a.id)
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	req.Header.Set("X-Shard-Key", key)
-	s.log("sent %s %s %s key %s to %s", id, method, path, key, to.vm)
+	s.log("sent %s %s %s key %s to %s", a.id, method, path, key, to.vm)
 	client := http.Client{Timeout: deadline, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Do(req)
 	if err != nil {
-		s.log("answered %s: %v", id, err)
-		return 0, 0
+		s.log("answered %s: %v", a.id, err)
+		return a
 	}
 	body, err := io.ReadAll(resp.Body)
 	_ = resp.Body.Close()
-	s.log("answered %s: %s %s, %d bytes", id, resp.Status, resp.Header.Get("Oriole-Reason"), len(body))
+	s.log("answered %s: %s %s, %d bytes", a.id, resp.Status, resp.Header.Get("Oriole-Reason"), len(body))
 	if err != nil {
-		return 0, 0
+		return a
 	}
 	seconds, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
-	return resp.StatusCode, time.Duration(seconds * float64(time.Second))
+	a.status, a.body, a.signature = resp.StatusCode, string(body), resp.Header.Get("X-Response-Signature")
+	a.retryAfter = time.Duration(seconds * float64(time.Second))
+	return a
 }
--- a/review/review2/site.go
+++ b/review/review2/site.go
@@ -83,6 +83,8 @@
 			Action: wire.Action{Service: &name, TimeoutMs: timeout, MaxAttempts: 2},
 		}
 	}
+	towRule, other := rule("r-tows", "non_idempotent", tows, 0, 200, 800), undivided
+	towRule.Action.Service = &other
 	return wire.Config{
 		Version: 7,
 		Limits:  wire.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 67108864, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
@@ -90,9 +92,12 @@
 			rule("r-lookups", "idempotent", lookups, 2, 300, 1200),
 			rule("r-bookings", "non_idempotent", bookings, 1, 400, 1500),
 			rule("r-batches", "upload", batches, 2, 4000, 8000),
+			towRule,
 		}}},
 		Clusters: []wire.Cluster{{
 			Name: service, HealthPath: "/healthz", MaxConns: 590, Protocol: "h1", ColdS: 3, ColdPerS: 6.7, Sharded: true, WarmS: 3, Grants: "rpc",
+		}, {
+			Name: undivided, HealthPath: "/healthz", MaxConns: 590, Protocol: "h1", ColdS: 3, ColdPerS: 6.7,
 		}},
 	}
 }
