Gateways that don't hear one another keep a leader that writes to the store

Cause: a gateway that did not hear the leader claimed the leadership at once. Without links each gateway hears itself only, so that each claimed in turn, each 0.4 s in the simulation. A new leader calls no upstream for 1.27 s, so that none ever renewed a lease, and after 5 s all had expired. Silence on links was taken for the end of a leader whose writes to the store the others had just read.

Change: a leader that hears at most half of the listed gateways writes its assignment each 0.4 s, changed or not. A gateway that learns of a write of a leader it does not hear leaves it in place until 1.5 s after the last one, and reads the assignment before it claims. Why it works: whoever holds the leadership shows it by the same conditional writes that a claim has to beat, and a leader that is lost writes no more. The reason for a claim and an unheard leader that is left in place are logged.

--- a/internal/oriolerouter/oriolelog/message.go
+++ b/internal/oriolerouter/oriolelog/message.go
@@ -101,6 +101,10 @@
 const (
 	MessageLeaderElected = "lead"
 	MessageStepDown      = "step-down"
+	// MessageLeaderClaimed says why a gateway asks for the leadership, and
+	// MessageLeaderUnheard that it leaves a leader in place which it does not hear.
+	MessageLeaderClaimed = "claim"
+	MessageLeaderUnheard = "leader-unheard"
 	// MessageUpstreamDown says that the leader's calls to an upstream failed
 	// repeatedly, and MessageUpstreamEnded that its incarnation has ended.
 	MessageUpstreamDown = "down"
--- a/internal/orioletrace/trace.go
+++ b/internal/orioletrace/trace.go
@@ -100,6 +100,7 @@
 	return slices.Contains([]string{
 		oriolelog.MessageStarted, oriolelog.MessageDraining, oriolelog.MessageStopped,
 		oriolelog.MessagePeerLost, oriolelog.MessagePeerHeard, oriolelog.MessageLinkEnded, oriolelog.MessagePeerUnresponsive,
+		oriolelog.MessageLeaderClaimed, oriolelog.MessageLeaderUnheard,
 	}, message)
 }
 
--- a/pkg/oriole/orioleassign/leadership.go
+++ b/pkg/oriole/orioleassign/leadership.go
@@ -49,17 +49,23 @@
 
 // receive handles an assignment that its leader has published. A leader learns of its
 // own writes from their results only, which also update its leases.
-func (m *Machine) receive(a oriole.Assignment) {
+func (m *Machine) receive(now time.Time, a oriole.Assignment) {
 	if m.leading && a.Term == m.current.Term {
 		return
 	}
 	if !m.hasCurrent || a.Newer(&m.current) {
-		m.setCurrent(a, oriole.Version{}, false)
+		m.setCurrent(now, a, oriole.Version{}, false)
 	}
 }
 
 // setCurrent replaces the current assignment.
-func (m *Machine) setCurrent(a oriole.Assignment, version oriole.Version, exact bool) {
+func (m *Machine) setCurrent(now time.Time, a oriole.Assignment, version oriole.Version, exact bool) {
+	if m.hasCurrent && a.Newer(&m.current) && !m.state.Alive[a.Leader] {
+		if !m.unheardLeaderActs(now) {
+			m.log("leader-unheard", LogEvent{Fence: a.Fence, Detail: "leader not alive, but writes to the store"})
+		}
+		m.unheardLeaderWroteAt = now
+	}
 	if m.leading && (a.Term != m.current.Term || a.Leader != m.cfg.Self) {
 		m.stepDown("another gateway is the leader")
 	}
@@ -193,7 +199,11 @@
 // tickFollower keeps the assignment of a follower up to date, and claims the
 // leadership when the leader is gone.
 func (m *Machine) tickFollower(now time.Time) {
-	if !m.nextRead.After(now) {
+	if m.unheardLeaderActs(now) {
+		if now.Sub(m.readStartedAt) >= unheardPollInterval(len(m.state.Gateways)) {
+			m.startRead(now, false)
+		}
+	} else if !m.nextRead.After(now) {
 		m.startRead(now, m.hasCurrent)
 	}
 	if m.pendingWrite != nil || m.reading || !m.hasCurrent || !m.state.DirectoryLoaded || now.Sub(m.startedAt) < startupDelay {
@@ -205,7 +215,8 @@
 		m.startRead(now, false)
 		return
 	}
-	if !m.leaderGone() {
+	reason := m.leaderGone(now)
+	if reason == "" {
 		m.leaderGoneSince = time.Time{}
 		return
 	}
@@ -220,26 +231,74 @@
 	if rank < 0 || now.Sub(m.leaderGoneSince) < delay || m.nextWrite.After(now) {
 		return
 	}
-	if !m.versionExact {
+	if !m.versionExact || m.exactReadAt.Before(m.unheardLeaderWroteAt.Add(leaderWriteTimeout)) {
 		m.startRead(now, false)
 		return
 	}
-	m.claimLeadership(now)
+	m.claimLeadership(now, reason)
 }
 
-// leaderGone reports whether there is no leader, or the leader has resigned, is
-// draining, is not alive or is not in the directory.
-func (m *Machine) leaderGone() bool {
-	if m.current.Leader == m.cfg.Self && m.eraUnsettled() {
-		return true
-	}
+// leaderGone returns why the leader is to be replaced, or "" if it is not: it is neither
+// alive nor has written to the store recently, for example.
+func (m *Machine) leaderGone(now time.Time) (reason string) {
 	leader, listed := m.state.Gateways[m.current.Leader]
-	return m.current.Leader == "" || (m.current.Term > 0 && m.resignedTerm == m.current.Term) || !listed || leader.Draining || !m.state.Alive[m.current.Leader]
+	switch {
+	case m.current.Leader == m.cfg.Self && m.eraUnsettled():
+		return "store restored"
+	case m.current.Leader == "":
+		return "no leader"
+	case m.current.Term > 0 && m.resignedTerm == m.current.Term:
+		return "leader resigned"
+	case !listed:
+		return "leader not listed"
+	case leader.Draining:
+		return "leader draining"
+	case m.state.Alive[m.current.Leader]:
+		m.unheardLeaderWroteAt = time.Time{}
+	case m.unheardLeaderActs(now):
+	case m.unheardLeaderWroteAt.IsZero():
+		return "leader not alive"
+	default:
+		return "leader not alive, and wrote no more to the store"
+	}
+	return ""
+}
+
+// unheardLeaderActs reports whether the leader has written to the store recently, although
+// this gateway did not count it as alive: what separates them is no end of the leader.
+func (m *Machine) unheardLeaderActs(now time.Time) bool {
+	return now.Sub(m.unheardLeaderWroteAt) < leaderWriteTimeout
+}
+
+// unheardPollInterval returns how often each of n gateways reads the assignment while it
+// does not hear a leader that writes to the store. If all do so, they read at
+// unheardPollRate at most.
+func unheardPollInterval(n int) time.Duration {
+	return max(minUnheardPollInterval, time.Duration(n)*time.Second/unheardPollRate)
+}
+
+// leaderWriteDue reports whether this leader is to write the assignment although it has not
+// changed: most other gateways may not hear it, and learn from the store that it lives.
+func (m *Machine) leaderWriteDue(now time.Time) bool {
+	if now.Sub(m.writeStartedAt) < leaderWriteInterval {
+		return false
+	}
+	heard, listed := 0, 0
+	for id, g := range m.state.Gateways {
+		if g.Draining {
+			continue
+		}
+		listed++
+		if id == m.cfg.Self || m.state.Alive[id] {
+			heard++
+		}
+	}
+	return 2*heard <= listed
 }
 
 // claimLeadership requests a write of an assignment with this gateway as the
-// leader.
-func (m *Machine) claimLeadership(now time.Time) {
+// leader, which replaces the present one for the reason.
+func (m *Machine) claimLeadership(now time.Time, reason string) {
 	next := m.current.Clone()
 	if len(next.Ranges) == 0 && now.Sub(m.upstreamsChanged) < firstAssignmentDelay {
 		return
@@ -274,5 +333,6 @@
 	}
 	next.Leader = m.cfg.Self
 	next.Seq = 1
+	m.log("claim", LogEvent{Fence: next.Fence, Detail: reason})
 	m.startWrite(now, next)
 }
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -80,6 +80,17 @@
 	// maxEvidenceDelay bounds the time that a frame with such evidence is on its
 	// way: in rings, in the network, and in sockets until it is read.
 	maxEvidenceDelay = 500 * time.Millisecond
+	// leaderWriteInterval is how often a leader that does not hear most gateways writes the
+	// assignment. leaderWriteTimeout is how long after learning of such a write a gateway that
+	// does not hear the leader takes it for alive: one write and one read may be lost. A
+	// leader that is lost then costs a renewal interval, a poll, the timeout and the wait of
+	// its successor: about the time to live of a lease.
+	leaderWriteInterval = 400 * time.Millisecond
+	leaderWriteTimeout  = 1500 * time.Millisecond
+	// minUnheardPollInterval and unheardPollRate, in reads a second, bound how often gateways
+	// look for such writes. The store's rate is a multiple of unheardPollRate.
+	minUnheardPollInterval = 500 * time.Millisecond
+	unheardPollRate        = 400
 	// For isolationTime after a gateway was found to be cut off from upstreams, it waits
 	// isolatedDelay longer than others before it claims the leadership.
 	isolationTime = 10 * time.Second
@@ -159,7 +170,15 @@
 	isolatedAt time.Time
 	// leaderGoneSince is when the leader was first found to be gone, or zero.
 	leaderGoneSince time.Time
-	draining        bool
+	// unheardLeaderWroteAt is when a write of the leader was last learned of while this
+	// gateway did not count it as alive, or zero. exactReadAt is when the last read that
+	// was answered and not stale was started, readStartedAt when the last read was, and
+	// writeStartedAt when the last write was.
+	unheardLeaderWroteAt time.Time
+	exactReadAt          time.Time
+	readStartedAt        time.Time
+	writeStartedAt       time.Time
+	draining             bool
 	// nextConfirm is when a read that confirms the leadership for a move may next
 	// be started.
 	nextConfirm time.Time
@@ -369,7 +388,7 @@
 	m.repairDue = true
 	m.maxRequestDuration = maxRequestDuration(state.Config)
 	if a := state.Assignments[m.cfg.Service]; a != nil {
-		m.receive(*a)
+		m.receive(now, *a)
 	}
 	m.dropPriorLeaders(now, nil)
 	m.schedulePass(now)
--- a/pkg/oriole/orioleassign/plan.go
+++ b/pkg/oriole/orioleassign/plan.go
@@ -99,7 +99,7 @@
 		m.proposeMoves(b)
 	}
 	changed := b != nil && b.changed
-	if !changed && !m.dirty && !m.priorLeasesDue(now) {
+	if !changed && !m.dirty && !m.priorLeasesDue(now) && !m.leaderWriteDue(now) {
 		return
 	}
 	next := m.current.Clone()
--- a/pkg/oriole/orioleassign/restore.go
+++ b/pkg/oriole/orioleassign/restore.go
@@ -67,7 +67,7 @@
 			m.eraSettled(now, a, version)
 			return
 		}
-		m.setCurrent(a, version, true)
+		m.setCurrent(now, a, version, true)
 		return
 	}
 	if m.settling && version == m.settleFrom {
--- a/pkg/oriole/orioleassign/restore_test.go
+++ b/pkg/oriole/orioleassign/restore_test.go
@@ -383,7 +383,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			x := newRestored(t)
 			known := x.old.current.Clone()
-			x.new.receive(known)
+			x.new.receive(x.now, known)
 			x.new.startedAt = x.now.Add(-test.runs)
 			x.new.resignedTerm = known.Term
 			x.read(x.new, x.older, x.unsettled)
--- a/pkg/oriole/orioleassign/sim_test.go
+++ b/pkg/oriole/orioleassign/sim_test.go
@@ -365,7 +365,7 @@
 				return
 			}
 			s.deliver(other, func() {
-				other.machine.receive(a)
+				other.machine.receive(s.clock.Now(), a)
 				peer, term := other.id, other.machine.MinRenewTerm()
 				s.schedule(s.delay(), func() {
 					s.deliver(g, func() { g.machine.SetPeerMinRenewTerm(s.clock.Now(), peer, term) })
--- a/pkg/oriole/orioleassign/store.go
+++ b/pkg/oriole/orioleassign/store.go
@@ -26,6 +26,9 @@
 		return
 	}
 	m.recordStoreResponse()
+	if !stale {
+		m.exactReadAt = started
+	}
 	switch {
 	case !m.observeEra(now, version, stale):
 		// The store was restored since.
@@ -74,7 +77,7 @@
 		m.reconcileRestored(now, started, oriole.Assignment{}, version)
 	case m.leading:
 	case !m.hasCurrent || m.current.Term == 0:
-		m.setCurrent(oriole.Assignment{Service: m.cfg.Service}, version, true)
+		m.setCurrent(now, oriole.Assignment{Service: m.cfg.Service}, version, true)
 	default:
 		m.version, m.versionExact = version, true
 	}
@@ -123,7 +126,7 @@
 			m.leases[i].fenceUnusable = true
 		}
 	default:
-		m.setCurrent(a, version, !stale)
+		m.setCurrent(now, a, version, !stale)
 	}
 }
 
@@ -183,6 +186,7 @@
 
 func (m *Machine) startWrite(now time.Time, a oriole.Assignment) {
 	m.pendingWrite = &a
+	m.writeStartedAt = now
 	m.versionExact = false
 	m.effects = append(m.effects, Effect{Write: &Write{Assignment: a, Expected: m.version}})
 }
@@ -192,6 +196,7 @@
 		return
 	}
 	m.reading = true
+	m.readStartedAt = now
 	m.nextRead = now.Add(pollInterval)
 	m.effects = append(m.effects, Effect{Read: &Read{AllowStale: stale}})
 }
--- a/pkg/oriole/orioleassign/takeover_test.go
+++ b/pkg/oriole/orioleassign/takeover_test.go
@@ -154,7 +154,7 @@
 	x := newTakeover(t)
 	release := x.move()
 	x.replace()
-	x.old.receive(x.new.current)
+	x.old.receive(x.now, x.new.current)
 	x.True(!x.old.Leading())
 	x.True(x.old.MinRenewTerm() < x.new.current.Term)
 	x.old.Tick(release.SendBefore.Add(simConfig.MaxCallDelay))
@@ -163,7 +163,7 @@
 	answered := newTakeover(t)
 	release = answered.move()
 	answered.replace()
-	answered.old.receive(answered.new.current)
+	answered.old.receive(answered.now, answered.new.current)
 	answered.old.CallDone(answered.now, release.ID, Result{Handover: "h"})
 	answered.Equal(answered.old.MinRenewTerm(), answered.new.current.Term)
 
--- /dev/null
+++ b/pkg/oriole/orioleassign/unheard_test.go
@@ -0,0 +1,94 @@
+package orioleassign
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// cutGatewaysFrom cuts the links between the two groups of gateways. All reach the store and
+// the servers.
+func (s *sim) cutGatewaysFrom(a, b []*simGateway) {
+	for _, g := range a {
+		for _, other := range b {
+			if g != other {
+				s.cutLinks[[2]string{g.name, other.name}] = cutHangs
+				s.cutLinks[[2]string{other.name, g.name}] = cutHangs
+			}
+		}
+	}
+	s.schedule(1100*time.Millisecond, s.publishState) // the silence timeout of the failure detector
+}
+
+// highestTerm returns the highest term that a gateway knows.
+func (s *sim) highestTerm() (term uint64) {
+	for _, g := range s.gateways {
+		term = max(term, g.machine.current.Term)
+	}
+	return term
+}
+
+// killLeaderAfter kills the leader after the span.
+func (s *sim) killLeaderAfter(span time.Duration) {
+	s.schedule(span, func() {
+		if leader := s.leader(); leader != nil {
+			s.log("%s is killed", leader.id)
+			leader.down = true
+		}
+	})
+}
+
+// TestGatewaysThatDoNotHearOneAnother guards against gateways that take the leadership from
+// one another again and again, while none leads for long enough to renew the leases.
+func TestGatewaysThatDoNotHearOneAnother(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		fault func(s *sim)
+	}{
+		{"all are cut off from each other", func(s *sim) { s.cutGatewaysFrom(s.gateways, s.gateways) }},
+		{"the leader is cut off from the others", func(s *sim) { s.cutGatewaysFrom([]*simGateway{s.leader()}, s.gateways) }},
+		{"all are cut off from each other, and the links heal", func(s *sim) {
+			s.cutGatewaysFrom(s.gateways, s.gateways)
+			s.schedule(20*time.Second, func() { clear(s.cutLinks); s.publishState() })
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSettledSim(t)
+			term := s.highestTerm()
+			test.fault(s)
+			s.checkLeadership(t, term, 0)
+		})
+	}
+}
+
+// TestLostLeaderIsReplacedByGatewaysThatDoNotHearIt guards against keys that wait for a lost
+// leader because silence on links is no proof of its end.
+func TestLostLeaderIsReplacedByGatewaysThatDoNotHearIt(t *testing.T) {
+	// The leader is killed at different times since its last renewal of the leases.
+	for phase := time.Duration(0); phase < simConfig.RenewInterval; phase += 200 * time.Millisecond {
+		t.Run(phase.String(), func(t *testing.T) {
+			s := newSettledSim(t)
+			term := s.highestTerm()
+			s.cutGatewaysFrom(s.gateways, s.gateways)
+			s.killLeaderAfter(20*time.Second + phase)
+			s.checkLeadership(t, term, recoveryTarget)
+		})
+	}
+}
+
+// checkLeadership checks that keys are without an owner for the bound at most, and that few
+// leaders follow that of the term.
+func (s *sim) checkLeadership(t *testing.T, term uint64, bound time.Duration) {
+	t.Helper()
+	is := is.New(t)
+	const span = 60 * time.Second
+	unowned := s.unownedFor(span)
+	if s.violation != "" {
+		s.fail(t, 7, s.violation)
+	}
+	leaders := s.highestTerm() - term
+	t.Logf("keys without an owner for %v of %v, %d new leaders", unowned, span, leaders)
+	is.True(unowned <= bound)
+	is.True(leaders <= uint64(len(s.gateways)))
+}
