A link that has gone silent is replaced

Cause: a link ended only by an error of its connection, or when nothing was acknowledged while a frame waited to be written. A heartbeat fits into the socket's buffer and never waits. Keep-alive probes are not sent while bytes are unacknowledged. The dialer opened a link only once the last had ended.

Change: a link with bytes unacknowledged for 1 s that has brought nothing for as long is silent, and the dialer opens another beside it, which takes what comes from then on. The silent one is kept while requests are under way on it: a false judgement costs a connection and no request. If no other can be opened, the old one stays in use. Links that a peer has opened end when nothing has arrived for 15 s and no request runs: this gateway may write nothing on them. A process that stops no longer waits for a peer on a link that the peer has replaced.

--- a/internal/oriolerouter/oriolelink/heartbeat.go
+++ b/internal/oriolerouter/oriolelink/heartbeat.go
@@ -46,9 +46,7 @@
 			return ctx.Err()
 		}
 		now := p.cfg.Timers.Now()
-		for _, l := range p.openLinks() {
-			l.observe(now)
-		}
+		p.observeLinks(now)
 		next, nextUnheard, heartbeat := p.tick(now)
 		p.sendHeartbeats(now, heartbeat, last == nil || hasChanged(*last, *heartbeat))
 		last = heartbeat
@@ -132,11 +130,26 @@
 	return &oriolemessage.Frame{Heartbeat: heartbeat, SentAt: oriolemessage.FromSentAt(p.cfg.BootClock.Now())}
 }
 
-// openLinks returns all links.
-func (p *Links) openLinks() []*link {
+// observeLinks detects links that are stuck or silent, and ends those that nobody uses. After
+// a stall of this gateway, responses and acknowledgements may wait in its sockets.
+func (p *Links) observeLinks(now time.Time) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return slices.AppendSeq(slices.Collect(maps.Keys(p.opened)), maps.Keys(p.accepted))
+	links := slices.AppendSeq(slices.Collect(maps.Keys(p.opened)), maps.Keys(p.accepted))
+	current, stalled := maps.Clone(p.links), p.liveness.Stalled(now)
+	p.mu.Unlock()
+	for _, l := range links {
+		l.observe(now)
+		if stalled {
+			continue
+		}
+		if l.isSilent(now) {
+			select {
+			case l.silences <- struct{}{}:
+			default:
+			}
+		}
+		l.endIfUnused(now, l.dialed && current[l.peer] != l)
+	}
 }
 
 func (p *Links) shouldHeartbeat(peer oriole.GatewayID) bool {
--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -26,6 +26,12 @@
 	// writeTimeout is how long a peer may take nothing while a frame is written to it. A
 	// frame may take longer: the bandwidth is shared by many links.
 	writeTimeout = time.Second
+	// silentTimeout is how long a link must take and bring no byte while bytes are
+	// unacknowledged for another to be opened beside it.
+	silentTimeout = writeTimeout
+	// unusedTimeout is how long nothing must have passed on a link for it to be closed
+	// while no request is under way on it: three heartbeats to idle peers.
+	unusedTimeout = 3 * idleHeartbeatInterval
 	// lostTimeout is how long a peer must be silent for requests to be given up that are not
 	// tried again: their callers do better to ask again themselves. Peers that lack the
 	// processor or share a narrow link are silent for less.
@@ -55,8 +61,10 @@
 // writes.
 type link struct {
 	peer oriole.GatewayID
-	// dialed is set if this gateway has opened the link.
+	// dialed is set if this gateway has opened the link. Otherwise serial orders it among
+	// those that peers have opened.
 	dialed bool
+	serial uint64
 	conn   *websocket.Conn
 	// socket is the connection below conn.
 	socket *oriolesocket.Conn
@@ -72,6 +80,14 @@
 	writingSince atomic.Int64
 	// heartbeatQueued is set while a periodic heartbeat waits in out.
 	heartbeatQueued atomic.Bool
+	// unacknowledgedSince is since when bytes that were written were not acknowledged, in
+	// Unix nanoseconds: when they were written, or the peer last acknowledged others. It is
+	// 0 if the peer was last seen to have acknowledged all.
+	unacknowledgedSince atomic.Int64
+	// silences gets a value at each tick while the link is silent, unless it holds one, and
+	// ended is closed once a link that this gateway has opened has ended.
+	silences chan struct{}
+	ended    chan struct{}
 
 	// transit measures the delay of the peer's frames, and unreadable is set once a frame
 	// could not be read: it may have been a response. Only the reader uses them.
@@ -130,6 +146,8 @@
 		pending:  make(map[uint64]*pendingRequest),
 		running:  make(map[uint64]context.CancelFunc),
 		partials: make(map[uint64]*partialBody),
+		silences: make(chan struct{}, 1),
+		ended:    make(chan struct{}),
 	}
 }
 
@@ -238,6 +256,7 @@
 	now := p.cfg.Timers.Now().UnixNano()
 	l.lastWrite.Store(now)
 	l.writingSince.Store(now)
+	l.unacknowledgedSince.CompareAndSwap(0, now)
 	defer l.writingSince.Store(0)
 	if err := l.conn.Write(ctx, websocket.MessageBinary, data); err != nil {
 		return errors.Wrapf(err, "%d bytes not acknowledged", oriolesocket.Unsent(l.socket.Conn))
@@ -260,19 +279,23 @@
 // observe records how much of what was written the peer has acknowledged. If it has
 // acknowledged nothing of it for writeTimeout while a frame was being written, the write
 // fails and the link ends. Bytes that the system holds while no frame waits are left to TCP,
-// which sends them again for longer.
+// which sends them again for longer; meanwhile the dial duty learns that the link is silent.
 func (l *link) observe(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	since := l.writingSince.Load()
-	if since == 0 && len(l.pending) == 0 {
+	if since == 0 && len(l.pending) == 0 && l.silence(now) < silentTimeout/2 {
 		// Most links are idle at most ticks; a measure is a system call.
 		return
 	}
-	acknowledged := l.socket.Acknowledged()
+	acknowledged, written := l.socket.Acknowledged(), l.socket.Written()
 	// A write that waits while the peer has acknowledged everything waits for this process.
-	if l.progress.observe(now, acknowledged) || acknowledged == l.socket.Written() {
+	if l.progress.observe(now, acknowledged) || acknowledged == written {
 		l.progress.at = now
+		l.unacknowledgedSince.Store(now.UnixNano())
+		if acknowledged == l.socket.Written() {
+			l.unacknowledgedSince.Store(0)
+		}
 		for _, req := range l.pending {
 			if !req.writtenAt.IsZero() && (req.writtenTo == 0 || req.writtenTo > acknowledged) {
 				req.takenUntil = now
@@ -286,6 +309,49 @@
 	_ = l.socket.SetWriteDeadline(now)
 }
 
+// silence returns for how long the link has taken and brought no byte while bytes were
+// unacknowledged, as of the last measure, or 0. A peer that lacks the processor
+// acknowledges, and one behind a narrow link does or sends.
+func (l *link) silence(now time.Time) time.Duration {
+	since := l.unacknowledgedSince.Load()
+	if since == 0 {
+		return 0
+	}
+	return min(now.Sub(time.Unix(0, since)), now.Sub(l.socket.ReadAt()))
+}
+
+// isSilent reports whether another link is to be opened beside this one.
+func (l *link) isSilent(now time.Time) bool { return l.silence(now) >= silentTimeout }
+
+// endIfUnused ends the link if no request is under way on it, and it was replaced or
+// nothing has passed on it for unusedTimeout.
+func (l *link) endIfUnused(now time.Time, replaced bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed || len(l.pending) > 0 || len(l.running) > 0 || l.unanswered.Load() > 0 || l.writingSince.Load() != 0 {
+		return
+	}
+	silence := l.silence(now)
+	if !l.dialed {
+		// The peer sends on it periodically, also if this gateway does not.
+		silence = now.Sub(l.socket.ReadAt())
+	}
+	if silence < unusedTimeout && !(replaced && (l.isSilent(now) || l.out.Len() == 0)) {
+		return
+	}
+	l.closed = true
+	// A deadline in the past ends the read that waits. An error means that the connection is
+	// closed.
+	_ = l.socket.SetReadDeadline(time.Unix(1, 0))
+}
+
+// pendingCount returns the number of this gateway's requests that the peer has not answered.
+func (l *link) pendingCount() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.pending)
+}
+
 // markWritten records that the peer may receive the request from now on. It
 // reports false if the caller has already given up.
 func (l *link) markWritten(number uint64) bool {
@@ -430,7 +496,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for number, req := range l.pending {
-		if req.idempotent && (req.mayRetry == nil || l.silence(now, req) > lostTimeout || req.mayRetry()) {
+		if req.idempotent && (req.mayRetry == nil || l.silenceFor(now, req) > lostTimeout || req.mayRetry()) {
 			delete(l.pending, number)
 			l.removePartial(number)
 			req.response <- oriole.UnknownResponse(oriole.ReasonConnection)
@@ -440,8 +506,8 @@
 	return failed
 }
 
-// silence returns for how long the peer has owed a sign of life for the request.
-func (l *link) silence(now time.Time, req *pendingRequest) time.Duration {
+// silenceFor returns for how long the peer has owed a sign of life for the request.
+func (l *link) silenceFor(now time.Time, req *pendingRequest) time.Duration {
 	return min(now.Sub(l.socket.ReadAt()), now.Sub(req.writtenAt), now.Sub(req.takenUntil))
 }
 
@@ -453,7 +519,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, req := range l.pending {
-		if !req.writtenAt.IsZero() && l.silence(now, req) > orioleliveness.SilenceTimeout {
+		if !req.writtenAt.IsZero() && l.silenceFor(now, req) > orioleliveness.SilenceTimeout {
 			return true
 		}
 	}
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -20,7 +19,6 @@
 	"github.com/orioleswitch/orioleswitch/internal/oriolemessage"
 	"github.com/orioleswitch/orioleswitch/internal/oriolesocket"
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
-	"github.com/orioleswitch/orioleswitch/internal/orioleupstream"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleliveness"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
@@ -30,17 +28,6 @@
 // Path is the HTTP path that accepts connections from peers.
 const Path = "/link"
 
-const (
-	// dialTimeout bounds one attempt to open a link, and helloTimeout the time
-	// until its first frame has arrived. Attempts are repeated with
-	// exponential backoff, up to maxDialBackoff, so that a peer that becomes
-	// reachable again is connected within about a second.
-	dialTimeout        = 500 * time.Millisecond
-	helloTimeout       = 2 * time.Second
-	initialDialBackoff = 100 * time.Millisecond
-	maxDialBackoff     = 800 * time.Millisecond
-)
-
 // Receiver handles what peers send. Its methods must not block for long.
 type Receiver interface {
 	// HandleRequest handles a forwarded request; reply must be called exactly
@@ -96,6 +83,8 @@
 	// closed and none is added.
 	accepted map[*link]bool
 	closing  bool
+	// lastSerial is the serial number of the link that a peer has opened last.
+	lastSerial uint64
 }
 
 // New returns the subtree.
@@ -143,10 +132,8 @@
 func (p *Links) Send(to oriole.GatewayID, frame *oriolemessage.Frame) bool {
 	p.mu.Lock()
 	l := p.links[to]
-	for other := range p.accepted {
-		if l == nil && other.peer == to {
-			l = other
-		}
+	if l == nil {
+		l = p.lastAccepted()[to]
 	}
 	p.mu.Unlock()
 	return l != nil && p.offer(l, &outgoing{frame: frame})
@@ -168,8 +155,8 @@
 	return false
 }
 
-// onePerPeer returns one link with each peer: the link that this gateway has
-// opened, or else one that the peer has opened.
+// onePerPeer returns one link with each peer: the last link that this gateway has
+// opened, or else the last one that the peer has opened.
 func (p *Links) onePerPeer() []*link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -177,15 +164,26 @@
 	for _, l := range p.links {
 		links = append(links, l)
 	}
-	added := make(map[oriole.GatewayID]bool)
-	for l := range p.accepted {
-		if p.links[l.peer] == nil && !added[l.peer] {
-			links, added[l.peer] = append(links, l), true
+	for peer, l := range p.lastAccepted() {
+		if p.links[peer] == nil {
+			links = append(links, l)
 		}
 	}
 	return links
 }
 
+// lastAccepted returns the last link that each peer has opened: it opens another when it
+// finds the one before silent. p.mu must be held.
+func (p *Links) lastAccepted() map[oriole.GatewayID]*link {
+	last := make(map[oriole.GatewayID]*link, len(p.accepted))
+	for l := range p.accepted {
+		if other := last[l.peer]; other == nil || other.serial < l.serial {
+			last[l.peer] = l
+		}
+	}
+	return last
+}
+
 // Reachable reports whether requests can be forwarded to the peer.
 func (p *Links) Reachable(to oriole.GatewayID) bool { return p.usableLink(to) != nil }
 
@@ -282,6 +280,8 @@
 	if p.closing {
 		return false
 	}
+	p.lastSerial++
+	l.serial = p.lastSerial
 	p.accepted[l] = true
 	return true
 }
@@ -433,7 +433,8 @@
 	socket *oriolesocket.Conn
 	// closed is closed once the peer has confirmed it.
 	closed chan struct{}
-	// alive is whether the peer was alive when the close began.
+	// alive is whether the peer was alive when the close began, and has not replaced the
+	// link.
 	alive    bool
 	progress progress
 }
@@ -480,11 +481,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closing = true
-	now := p.cfg.Timers.Now()
+	now, last := p.cfg.Timers.Now(), p.lastAccepted()
 	for l := range p.accepted {
 		c := &closingLink{
 			socket: l.socket, closed: make(chan struct{}),
-			alive:    p.liveness.HeardRecently(now, l.peer) || p.liveness.Alive(l.peer),
+			alive:    last[l.peer] == l && (p.liveness.HeardRecently(now, l.peer) || p.liveness.Alive(l.peer)),
 			progress: progress{l.socket.Acknowledged(), now},
 		}
 		closing = append(closing, c)
@@ -511,78 +512,3 @@
 	}
 	return n
 }
-
-// dialDuty maintains the link to one peer.
-type dialDuty struct {
-	links *Links
-	to    oriole.Member
-	// removed is closed when no link with the peer is wanted any more.
-	removed chan struct{}
-}
-
-func (d *dialDuty) String() string { return "dial " + string(d.to.ID) }
-
-// Serve implements suture.Service.
-func (d *dialDuty) Serve(ctx context.Context) error {
-	backoff := initialDialBackoff
-	for {
-		if d.connect(ctx) {
-			backoff = initialDialBackoff
-		}
-		timer := time.NewTimer(backoff)
-		select {
-		case <-timer.C:
-		case <-d.removed:
-			timer.Stop()
-			return suture.ErrDoNotRestart
-		case <-ctx.Done():
-			timer.Stop()
-			return ctx.Err()
-		}
-		backoff = min(2*backoff, maxDialBackoff)
-	}
-}
-
-// connect dials the peer and serves the link until it ends. It reports whether
-// the connection was established.
-func (d *dialDuty) connect(ctx context.Context) bool {
-	p := d.links
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	// The transport dials one connection for the request.
-	sockets := make(chan *oriolesocket.Conn, 1)
-	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := orioleupstream.NewDialer().DialContext(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		socket := oriolesocket.NewConn(conn, p.cfg.Timers)
-		sockets <- socket
-		return socket, nil
-	}}}
-	conn, _, err := websocket.Dial(dialCtx, "ws://"+d.to.PeerAddr.String()+Path, &websocket.DialOptions{
-		HTTPClient: client, HTTPHeader: orioleauth.BearerHeader(p.cfg.Secret),
-	})
-	if err != nil {
-		p.cfg.Metrics.Add("link_dials_failed", 1)
-		return false
-	}
-	l := newLink(d.to.ID, conn, <-sockets, p.cfg.Memory, p.cfg.QueueMemory)
-	l.dialed = true
-	self, heartbeat := p.cfg.Self, p.cfg.Receiver.Heartbeat()
-	self.Draining = heartbeat.Draining
-	l.out.Offer(&outgoing{frame: &oriolemessage.Frame{Hello: oriolemessage.FromMember(self)}})
-	l.out.Offer(&outgoing{frame: p.heartbeatFrame(heartbeat)})
-	p.mu.Lock()
-	p.links[d.to.ID], p.opened[l] = l, true
-	p.liveness.RecordFrame(p.cfg.Timers.Now(), d.to.ID)
-	p.mu.Unlock()
-	l.serve(ctx, p)
-	p.mu.Lock()
-	delete(p.opened, l)
-	if p.links[d.to.ID] == l {
-		delete(p.links, d.to.ID)
-	}
-	p.mu.Unlock()
-	return true
-}
--- a/internal/oriolerouter/oriolelink/relay_test.go
+++ b/internal/oriolerouter/oriolelink/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync"
 	"syscall"
 	"testing"
 
@@ -30,7 +31,11 @@
 	target netip.AddrPort
 	dialer net.Dialer
 	// stopped is closed once nothing is passed on any more.
-	stopped chan struct{}
+	stopped  chan struct{}
+	listener net.Listener
+
+	mu    sync.Mutex
+	conns []net.Conn
 }
 
 // startRelay starts a relay to the target. sendBuffer is the size of the send buffers of
@@ -49,7 +54,7 @@
 	})
 	r := &relay{
 		addr: netip.MustParseAddrPort(listener.Addr().String()), target: target,
-		dialer: net.Dialer{Control: shrinkBuffers}, stopped: make(chan struct{}),
+		dialer: net.Dialer{Control: shrinkBuffers}, stopped: make(chan struct{}), listener: listener,
 	}
 	go func() {
 		for {
@@ -67,12 +72,44 @@
 // stop stops passing bytes on. The connections stay open.
 func (r *relay) stop() { close(r.stopped) }
 
+const (
+	// maxTTL is the greatest time to live of a packet. Those of the machine itself have less.
+	maxTTL = 255
+	anyTTL = 0
+)
+
+// silence makes the open connections drop what arrives on them without an acknowledgement,
+// or take it again. New connections are not affected.
+func (r *relay) silence(t *testing.T, silent bool) {
+	t.Helper()
+	ttl := anyTTL
+	if silent {
+		ttl = maxTTL
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, conn := range r.conns {
+		raw, err := conn.(*net.TCPConn).SyscallConn()
+		if err == nil {
+			// An error means that the connection is closed.
+			_ = raw.Control(func(fd uintptr) {
+				if err := unix.SetsockoptInt(int(fd), unix.IPPROTO_IP, unix.IP_MINTTL, ttl); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+	}
+}
+
 func (r *relay) serve(ctx context.Context, client net.Conn) {
 	server, err := r.dialer.DialContext(ctx, "tcp", r.target.String())
 	if err != nil {
 		_ = client.Close()
 		return
 	}
+	r.mu.Lock()
+	r.conns = append(r.conns, client, server)
+	r.mu.Unlock()
 	closeBoth := func() {
 		_ = client.Close()
 		_ = server.Close()
--- a/internal/oriolerouter/oriolelog/message.go
+++ b/internal/oriolerouter/oriolelog/message.go
@@ -89,6 +89,8 @@
 	MessageDraining = "leaving"
 	// MessageClientBound says that a bound on what clients may hold has acted.
 	MessageClientBound = "client bound reached"
+	// MessageLinkReplaced says that a link was opened beside one that is silent.
+	MessageLinkReplaced = "link replaced"
 	// MessageClosedUnread says that a client's connection was closed while bytes of the
 	// client were not read.
 	MessageClosedUnread = "connection closed unread"
--- a/internal/orioletrace/trace.go
+++ b/internal/orioletrace/trace.go
@@ -99,7 +99,7 @@
 func isLifecycle(message string) bool {
 	return slices.Contains([]string{
 		oriolelog.MessageStarted, oriolelog.MessageDraining, oriolelog.MessageStopped,
-		oriolelog.MessagePeerLost, oriolelog.MessagePeerHeard, oriolelog.MessageLinkEnded, oriolelog.MessagePeerUnresponsive,
+		oriolelog.MessagePeerLost, oriolelog.MessagePeerHeard, oriolelog.MessageLinkEnded, oriolelog.MessageLinkReplaced, oriolelog.MessagePeerUnresponsive,
 		oriolelog.MessageLeaderClaimed, oriolelog.MessageLeaderUnheard,
 	}, message)
 }
