A reset is not the end of a response without a length

Callers got a part of a response as a complete 200: the upstream had answered an upload at once, without a length, sent part of the body, and reset the connection while the upload was being written.

Cause: the system reports a reset once, to whichever call comes first. The write of the request got the error; the read of the response after it saw a plain end, which ends a body without a length. The result of the write was looked at only to decide whether the connection could be used again.

Change: where the end of the connection is that of the body, the response counts only if no write of the request has failed. A write that still waits is given up and is no failure: it would have got the error before the read got the end. So nothing waits for an upstream that answers early and reads on slowly, and all attempts to tell the two ends apart by time are avoided.

--- a/internal/orioleupstream/client.go
+++ b/internal/orioleupstream/client.go
@@ -44,6 +44,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// untilEnd is set if the end of the connection is that of the body.
+	untilEnd bool
 }
 
 // Client sends requests to upstreams and pools idle connections by upstream
--- a/internal/orioleupstream/conn.go
+++ b/internal/orioleupstream/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -69,12 +70,18 @@
 type trackingWriter struct {
 	conn    net.Conn
 	started atomic.Bool
+	// err is the first error of a write. Only the writer may use it until it has ended.
+	err error
 }
 
 // Write implements io.Writer.
 func (w *trackingWriter) Write(data []byte) (int, error) {
 	w.started.Store(true)
-	return w.conn.Write(data)
+	n, err := w.conn.Write(data)
+	if w.err == nil {
+		w.err = err
+	}
+	return n, err
 }
 
 // headLimiter reads from the connection, and fails once the head of a response
@@ -231,6 +238,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	c.tracker.started.Store(false)
+	c.tracker.err = nil
 	c.head.failed = false
 	req, hasPast := call.Request, c.used
 	written := make(chan error, 1)
@@ -251,6 +259,9 @@
 	if hasPast && call.ExtraWait > 0 && c.receivesWithin(call.ExtraWait) {
 		return nil, false, ErrAmbiguous
 	}
+	if resp.untilEnd {
+		return resp, false, c.checkOrderlyEnd(written)
+	}
 	select {
 	case err := <-written:
 		return resp, reusable && err == nil && stop(), nil
@@ -260,6 +271,22 @@
 	}
 }
 
+// checkOrderlyEnd returns an error if the connection, which has ended for the reader, was
+// reset: its end is not that of a response then. The system reports a reset once, to the
+// writer if that comes first, and the reader gets a plain end after that. A write that still
+// waits has got no such error, and is given up: an upstream that has ended its response may
+// not read on.
+func (c *conn) checkOrderlyEnd(written <-chan error) error {
+	// An error means that the connection is closed.
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	<-written
+	// net/http wraps the error of a write without giving access to it.
+	if err := c.tracker.err; err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		return errors.Wrap(err, "connection lost before the end of the response was certain")
+	}
+	return nil
+}
+
 // receivesWithin reports whether bytes arrive within the wait.
 func (c *conn) receivesWithin(wait time.Duration) bool {
 	// If a deadline can't be set, the connection has failed.
@@ -323,7 +350,8 @@
 			framed = false
 		}
 		reusable := !resp.Close && framed && c.in.Buffered() == 0
-		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body}, reusable, nil
+		untilEnd := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, untilEnd: untilEnd}, reusable, nil
 	}
 	return nil, false, errors.New("no response matches the request")
 }
