Chunks in a response of HTTP/1.0 are no body

Cause: HTTP/1.0 has no transfer encodings, and net/http ignores and removes the field there; what came up to the end of the connection was taken for the body. RFC 9112 (6.1) has a client treat such a message as faulty.

Change: the head of a response that begins with HTTP/1.0 is read before net/http does, and a transfer encoding in it makes it a bad response. Other responses are read as before. A connection of HTTP/1.0 carries one request.

Two cases of TestResponseOutsideOfProtocolEndsRequestAtOnce failed before: chunks, and a transfer encoding beside a length.

--- a/internal/orioleupstream/conn.go
+++ b/internal/orioleupstream/conn.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/textproto"
 	"os"
 	"slices"
 	"strings"
@@ -317,7 +318,7 @@
 	c.used = true
 	for range maxResponses {
 		c.head.remaining = maxHeadBytes
-		resp, err := http.ReadResponse(c.in, call.Request)
+		resp, err := c.readResponse(call.Request)
 		if err != nil {
 			return nil, false, err
 		}
@@ -349,13 +350,50 @@
 			// The body that the upstream may send is none to net/http.
 			framed = false
 		}
-		reusable := !resp.Close && framed && c.in.Buffered() == 0
+		// Of a response of HTTP/1.0, more than the body may have been read from the connection.
+		reusable := !resp.Close && framed && resp.ProtoAtLeast(1, 1) && c.in.Buffered() == 0
 		untilEnd := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 		return &Response{Status: resp.StatusCode, Header: resp.Header, Body: body, untilEnd: untilEnd}, reusable, nil
 	}
 	return nil, false, errors.New("no response matches the request")
 }
 
+// oldVersion begins the responses of HTTP/1.0.
+const oldVersion = "HTTP/1.0"
+
+// errOldEncoding is returned for a response of HTTP/1.0 with a transfer encoding, which that
+// version doesn't have (RFC 9112, 6.1). net/http removes the field, and would take the chunks
+// with their sizes for the body.
+var errOldEncoding = errors.New("transfer encoding in a response of HTTP/1.0")
+
+// readResponse reads the head of a response.
+func (c *conn) readResponse(req *http.Request) (*http.Response, error) {
+	// An error comes again when the response is read.
+	if version, err := c.in.Peek(len(oldVersion)); err != nil || string(version) != oldVersion {
+		return http.ReadResponse(c.in, req)
+	}
+	var head []byte
+	for fields := 0; ; fields = len(head) {
+		line, err := c.in.ReadBytes('\n')
+		head = append(head, line...)
+		if err != nil {
+			return nil, err
+		}
+		if len(bytes.TrimRight(head[fields:], "\r\n")) == 0 {
+			break
+		}
+	}
+	_, fields, _ := bytes.Cut(head, []byte("\n"))
+	header, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(fields))).ReadMIMEHeader()
+	if err != nil {
+		return nil, err
+	}
+	if _, found := header["Transfer-Encoding"]; found {
+		return nil, errOldEncoding
+	}
+	return http.ReadResponse(bufio.NewReader(io.MultiReader(bytes.NewReader(head), c.in)), req)
+}
+
 // validate returns an error if net/http has accepted a response that HTTP/1 does not allow
 // for a request without an upgrade.
 func validate(resp *http.Response) error {
--- a/internal/orioleupstream/status_test.go
+++ b/internal/orioleupstream/status_test.go
@@ -74,9 +74,15 @@
 func TestResponseOutsideOfProtocolEndsRequestAtOnce(t *testing.T) {
 	const upgrade = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\nServer-Leaving: 1\r\n\r\n"
 	for name, respond := range map[string]func(id string) string{
-		"upgrade":                        func(string) string { return upgrade },
-		"upgrade and response":           func(id string) string { return upgrade + okResponse(id) },
-		"protocol of major version 2":    func(id string) string { return leaving(withStatusLine("HTTP/2.0 200 OK", okResponse(id))) },
+		"upgrade":                     func(string) string { return upgrade },
+		"upgrade and response":        func(id string) string { return upgrade + okResponse(id) },
+		"protocol of major version 2": func(id string) string { return leaving(withStatusLine("HTTP/2.0 200 OK", okResponse(id))) },
+		"chunks in HTTP/1.0": func(id string) string {
+			return "HTTP/1.0 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\nUnframed"
+		},
+		"transfer encoding in HTTP/1.0, with a length": func(id string) string {
+			return "HTTP/1.0 200 OK\ntransfer-encoding: identity\nX-Attempt-Id: " + id + "\nX-Response-Signature: s\nContent-Length: 5\n\nhelloUnframed"
+		},
 		"protocol of major version 0":    func(id string) string { return leaving(withStatusLine("HTTP/0.9 200 OK", okResponse(id))) },
 		"interim response with a length": func(id string) string { return "HTTP/1.1 103 Hints\r\nContent-Length: 5\r\n\r\n" + okResponse(id) },
 		"interim response with chunks": func(id string) string {
