A leader closes its connections to upstreams that have ended

Cause: connections for lease calls were closed only when one was used again, or a call on a used one got no answer. Those of requests are closed when the directory changes.

Change: both are closed then: those that have timed out, and those to incarnations that the directory doesn't list. The connection on which a listed upstream was granted its fencing token stays.

--- a/internal/oriolegateway/gateway.go
+++ b/internal/oriolegateway/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/orioleswitch/orioleswitch/internal/oriolerouter/oriolelog"
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
 	"github.com/orioleswitch/orioleswitch/internal/orioleupstream"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolestop"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioletimer"
@@ -45,13 +46,16 @@
 		closeDirectory()
 	}
 	router, closeRouter, err := oriolerouter.New(settings, oriolerouter.Platform{
-		Directory:      directory,
-		Dialect:        platform.Dialect{},
-		Leaser:         leaser,
-		Sender:         orioleupstream.NewSender(client, platform.Dialect{}, orioletimer.New()),
-		CloseIdleConns: client.CloseIdleConns,
-		PeerMemory:     memory.Peers,
-		LinkMemory:     memory.Links,
+		Directory: directory,
+		Dialect:   platform.Dialect{},
+		Leaser:    leaser,
+		Sender:    orioleupstream.NewSender(client, platform.Dialect{}, orioletimer.New()),
+		CloseIdleConns: func(keep func(oriole.Incarnation) bool) {
+			client.CloseIdleConns(keep)
+			leaser.CloseIdleConns(keep)
+		},
+		PeerMemory: memory.Peers,
+		LinkMemory: memory.Links,
 	}, logger, oriolerouter.WithClock(clock))
 	if err != nil {
 		closeClients()
