A header within its limit is not refused for spaces it doesn't have

Cause: the size of a header counted a space after each colon, which need not be sent. Optional white space was meant not to count.

TestRequestsAreNotSmuggled, "short fields up to the limit", failed before (431); one byte beyond is refused as before.

--- a/internal/oriolerouter/orioleingress/framing_test.go
+++ b/internal/oriolerouter/orioleingress/framing_test.go
@@ -106,6 +106,16 @@
 	}
 }
 
+// headOfSize returns a header section of n bytes with short fields and no optional white
+// space.
+func headOfSize(n int) string {
+	head := "GET /a/1 HTTP/1.1\r\nHost:h\r\n"
+	for len(head) < n-len("a:\r\n\r\n")-10 {
+		head += "a:v\r\n"
+	}
+	return head + "a:" + strings.Repeat("v", n-len(head)-len("a:\r\n\r\n")) + "\r\n\r\n"
+}
+
 const post = "POST /a/1 HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 7\r\n"
 
 // Request smuggling: malformed or ambiguous framing must not let the body of one
@@ -139,6 +149,8 @@
 		{"a body too long", post + "Content-Length: 65\r\n\r\n" + strings.Repeat("x", 65), []int{413}, nil},
 		{"chunks too long", post + "Transfer-Encoding: chunked\r\n\r\n41\r\n" + strings.Repeat("x", 65) + "\r\n0\r\n\r\n", []int{413}, nil},
 		{"a header too long", "GET /a/1 HTTP/1.1\r\nHost: h\r\nX-Long: " + strings.Repeat("x", 1024) + "\r\n\r\n", []int{431}, nil},
+		{"short fields up to the limit", headOfSize(1024), []int{200}, []string{"GET /a/1 "}},
+		{"short fields beyond the limit", headOfSize(1025), []int{431}, nil},
 		{"a deadline that is not a number", "GET /a/1 HTTP/1.1\r\nHost: h\r\nX-Deadline-Ms: soon\r\n\r\n", []int{400}, nil},
 		{"an idempotency key too long", "GET /a/1 HTTP/1.1\r\nHost: h\r\nIdempotency-Key: " + strings.Repeat("k", 257) + "\r\n\r\n", []int{400}, nil},
 		{"no route", "GET /b/1 HTTP/1.1\r\nHost: h\r\n\r\n", []int{404}, nil},
--- a/internal/oriolerouter/orioleingress/http.go
+++ b/internal/oriolerouter/orioleingress/http.go
@@ -318,11 +318,11 @@
 // headerBytes returns the size of the request line and header as sent, without
 // optional white space.
 func headerBytes(r *http.Request) int {
-	const lineEnd, separators = 2, 4
-	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + separators + len("Host: ") + len(r.Host) + lineEnd
+	const lineEnd, spaces, colon = 2, 2, 1
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + spaces + lineEnd + len("Host") + colon + len(r.Host) + lineEnd
 	for name, values := range r.Header {
 		for _, value := range values {
-			n += len(name) + len(value) + separators
+			n += len(name) + colon + len(value) + lineEnd
 		}
 	}
 	return n + lineEnd
