Small bodies from peers are bounded together

Cause: a hold could take 64 KB whatever others held, as its number was said to be bounded elsewhere. That bound is 128 places in the queue of each pool: with twelve pools, 96 MB.

Change: holds of 64 KB at most share a reserve of half of the pool's size; beyond it only 8 KB each pass in any case, a header and a short body of the usual size.

--- a/pkg/oriole/oriolememory/memory.go
+++ b/pkg/oriole/oriolememory/memory.go
@@ -13,9 +13,14 @@
 var ErrFull = errors.New("too many bytes are held")
 
 const (
-	// freeBytes is what each hold may take in any case, in bytes: bodies of the usual
-	// size pass whatever others hold. The number of holds is bounded elsewhere.
-	freeBytes = 64 << 10
+	// usualBytes is what each hold may take in any case, in bytes: a header of the usual
+	// size and a short body pass whatever others hold. The number of holds is bounded
+	// elsewhere.
+	usualBytes = 8 << 10
+	// freeBytes is what each hold may take whatever its owner and larger holds have taken,
+	// in bytes, from a reserve of the pool's size divided by reserveDivisor.
+	freeBytes      = 64 << 10
+	reserveDivisor = 2
 	// poolDivisor gives the size of each pool as a fraction of the memory of the VM.
 	// Bodies of own callers have a bound of their own, and the runtime needs as much
 	// again until garbage is collected.
@@ -89,11 +94,12 @@
 }
 
 // Grow takes n more bytes. It takes none and returns [ErrFull] if they exceed the share
-// of the owner or the size of the pool.
+// of the owner or the size of the pool. Small holds may exceed both, by half of the size
+// together, and the smallest in any case.
 func (h *Hold) Grow(n int64) error { return h.grow(n, freeBytes) }
 
-// GrowStrict is like Grow, but what each hold may take in any case isn't taken either: for
-// holds whose number is not bounded.
+// GrowStrict is like Grow without an exception for small holds: for holds whose number is
+// not bounded.
 func (h *Hold) GrowStrict(n int64) error { return h.grow(n, 0) }
 
 func (h *Hold) grow(n, free int64) error {
@@ -103,7 +109,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if h.n+n > free && (p.used+n > p.size || p.owners[h.owner]+n > p.perOwner) {
+	if !p.mayTake(h, n, free) {
 		p.refused++
 		return ErrFull
 	}
@@ -113,6 +119,18 @@
 	return nil
 }
 
+// mayTake reports whether the hold may take n more bytes, where it may have free bytes from
+// the reserve. p.mu must be held.
+func (p *Pool) mayTake(h *Hold, n, free int64) bool {
+	switch total := h.n + n; {
+	case total <= min(free, usualBytes):
+		return true
+	case total <= free && p.used+n <= p.size+p.size/reserveDivisor:
+		return true
+	}
+	return p.used+n <= p.size && p.owners[h.owner]+n <= p.perOwner
+}
+
 // Reset gives all bytes back.
 func (h *Hold) Reset() { h.Shrink(h.n) }
 
--- a/pkg/oriole/oriolememory/memory_test.go
+++ b/pkg/oriole/oriolememory/memory_test.go
@@ -82,6 +82,23 @@
 	})
 }
 
+// TestSmallHoldsAreBoundedTogether guards against many small bodies that exceed the pool by
+// many times, since each may take some bytes in any case.
+func TestSmallHoldsAreBoundedTogether(t *testing.T) {
+	is := is.New(t)
+	const size, small, usual = 16 << 20, 64 << 10, 8 << 10
+	p := oriolememory.NewPool(size, 8<<20)
+	for range 1000 {
+		h, _ := p.Hold("a")
+		_ = h.Grow(small)
+	}
+	is.Equal(p.Usage().Used, int64(size+size/2))
+	h, _ := p.Hold("b")
+	is.Equal(h.Grow(small), oriolememory.ErrFull)
+	is.NoErr(h.Grow(usual)) // a request of the usual size passes
+	is.Equal(h.Grow(1), oriolememory.ErrFull)
+}
+
 // TestReaderTakesWhatItReads checks that a read fails once its bytes exceed the bound, and
 // that they are held until then.
 func TestReaderTakesWhatItReads(t *testing.T) {
