Headers that peers forward count for the memory of a dispatcher

The gateway of the client counts 256 bytes a field; the dispatcher counted nothing, although a decoded header takes tens of times its bytes there as well.

Change: a forwarded request takes its header, with 256 bytes a field, and its body from the memory for bodies of peers, until it is answered; so does a response. The decoded message no longer keeps a second copy of the header until then.

TestRequestsOfPeersAreBoundedTogether, "short header fields", failed before (all 200 held, about 60 MB; a pool of 2 MiB).

--- a/internal/oriolerouter/orioleingress/guard.go
+++ b/internal/oriolerouter/orioleingress/guard.go
@@ -19,13 +19,10 @@
 	"github.com/orioleswitch/orioleswitch/internal/orioletelemetry"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleclients"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
 )
 
 const (
-	// fieldCost is what a parsed header field takes besides its bytes: its entry in the
-	// map, the slice of its values, and its share of the map's free entries; and the same
-	// again in the copy that is passed on.
-	fieldCost = 256
 	// headerSlack is what a header section may have in white space, which the
 	// configuration's limit doesn't count.
 	headerSlack = 4 << 10
@@ -182,13 +179,14 @@
 		// fails if the connection was closed in favor of others before it counts as waiting.
 		c.holder.Enter(time.Now(), orioleclients.Waiting)
 	}
-	switch err := c.holder.Grow(time.Now(), int64(n+lines*fieldCost)); {
+	cost := oriolememory.HeaderCost(lines, n)
+	switch err := c.holder.Grow(time.Now(), cost); {
 	case errors.Is(err, orioleclients.ErrClosed):
 		return errRefused
 	case err != nil:
 		return c.refuse(http.StatusServiceUnavailable, eventBytesFull)
 	}
-	c.headHeld += int64(n + lines*fieldCost)
+	c.headHeld += cost
 	return nil
 }
 
--- a/internal/oriolerouter/oriolelink/link.go
+++ b/internal/oriolerouter/oriolelink/link.go
@@ -423,7 +423,7 @@
 // deliver passes a response to the pending request with the same number and
 // request ID. It reports false if there is none.
 func (l *link) deliver(message *oriolemessage.Response) bool {
-	body, release, complete := l.assemble(message.Number, message.Body)
+	body, release, complete := l.assemble(message.Number, message.Header, message.Body)
 	defer release()
 	l.mu.Lock()
 	req := l.pending[message.Number]
--- a/internal/oriolerouter/oriolelink/links.go
+++ b/internal/oriolerouter/oriolelink/links.go
@@ -335,7 +335,7 @@
 	l.unanswered.Add(1)
 	ctx, cancel := context.WithCancel(ctx)
 	l.startServing(forwarded.Number, cancel)
-	body, release, complete := l.assemble(forwarded.Number, forwarded.Body)
+	body, release, complete := l.assemble(forwarded.Number, forwarded.Header, forwarded.Body)
 	reply := func(resp oriole.Response) {
 		release()
 		p.respond(ctx, l, forwarded, resp)
@@ -358,6 +358,8 @@
 		reply(oriole.NotRunResponse(oriole.ReasonBadResponse))
 		return
 	}
+	// The request has a header of its own, which reply would keep.
+	forwarded.Header = nil
 	p.cfg.Receiver.HandleRequest(ctx, r, reply)
 }
 
--- a/internal/oriolerouter/oriolelink/memory_test.go
+++ b/internal/oriolerouter/oriolelink/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -14,6 +15,15 @@
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
 )
 
+// fields returns a header with n short fields.
+func fields(n int) http.Header {
+	header := make(http.Header, n)
+	for i := range n {
+		header[fmt.Sprintf("F%d", i)] = []string{"v"}
+	}
+	return header
+}
+
 // TestRequestsOfPeersAreBoundedTogether guards against a dispatcher that holds whatever its
 // peers forward, as long as each request is small enough: the peers bound what each of them
 // holds, not what they hold at one dispatcher together.
@@ -25,6 +35,7 @@
 		body   int
 	}{
 		{"bodies", nil, 60_000},
+		{"short header fields", fields(1200), 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/oriolerouter/oriolelink/part.go
+++ b/internal/oriolerouter/oriolelink/part.go
@@ -118,9 +118,18 @@
 	partial.parts, partial.size, partial.dropped = nil, 0, true
 }
 
+// headerCost returns the memory in bytes that a header takes.
+func headerCost(header []oriolemessage.Field) int64 {
+	size := 0
+	for _, f := range header {
+		size += len(f.Name) + len(f.Value)
+	}
+	return oriolememory.HeaderCost(len(header), size)
+}
+
 // assemble returns the body that ends with tail, and whether it is complete. The buffered
-// parts are removed. release gives back the memory that is held for the body.
-func (l *link) assemble(number uint64, tail []byte) (body []byte, release func(), complete bool) {
+// parts are removed. release gives back the memory that is held for the body and the header.
+func (l *link) assemble(number uint64, header []oriolemessage.Field, tail []byte) (body []byte, release func(), complete bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	partial := l.partials[number]
@@ -129,7 +138,7 @@
 	}
 	delete(l.partials, number)
 	l.bufferedBytes -= partial.size
-	if partial.hold.Grow(int64(len(tail))) != nil {
+	if partial.hold.Grow(headerCost(header)+int64(len(tail))) != nil {
 		partial.hold.Reset()
 		return nil, partial.hold.Reset, false
 	}
--- a/internal/oriolerouter/oriolelink/part_test.go
+++ b/internal/oriolerouter/oriolelink/part_test.go
@@ -43,7 +43,7 @@
 		is := is.New(t)
 		l := newTestLink()
 		b := testBody(size)
-		got, _, complete := l.assemble(1, addParts(l, 1, b, startTime))
+		got, _, complete := l.assemble(1, nil, addParts(l, 1, b, startTime))
 		is.True(complete)
 		is.True(bytes.Equal(got, b))
 		is.Equal(l.bufferedBytes, 0)
@@ -57,7 +57,7 @@
 	for _, size := range []int{maxBodySize + 2*partSize, maxBodySize + 5*partSize, 2*maxBodySize + 3*partSize} {
 		is := is.New(t)
 		l := newTestLink()
-		_, _, complete := l.assemble(1, addParts(l, 1, testBody(size), startTime))
+		_, _, complete := l.assemble(1, nil, addParts(l, 1, testBody(size), startTime))
 		is.True(!complete)
 		is.Equal(l.bufferedBytes, 0)
 	}
@@ -75,7 +75,7 @@
 	}
 	count := 0
 	for number, tail := range tails {
-		got, _, complete := l.assemble(uint64(number), tail)
+		got, _, complete := l.assemble(uint64(number), nil, tail)
 		if complete {
 			count++
 			is.True(bytes.Equal(got, b))
@@ -93,10 +93,10 @@
 	tail := addParts(l, 1, testBody(maxBodySize), startTime)
 	later := startTime.Add(maxPartialAge + time.Second)
 	b := testBody(maxBodySize)
-	got, _, complete := l.assemble(2, addParts(l, 2, b, later))
+	got, _, complete := l.assemble(2, nil, addParts(l, 2, b, later))
 	is.True(complete)
 	is.True(bytes.Equal(got, b))
-	_, _, complete = l.assemble(1, tail)
+	_, _, complete = l.assemble(1, nil, tail)
 	is.True(!complete) // its first parts were dropped
 }
 
@@ -136,7 +136,7 @@
 			l := newTestLink()
 			l.peer, l.memory = oriole.GatewayID(fmt.Sprint(i)), memory
 			b := testBody(4 * partSize)
-			got, release, ok := l.assemble(1, addParts(l, 1, b, startTime))
+			got, release, ok := l.assemble(1, nil, addParts(l, 1, b, startTime))
 			if ok {
 				is.True(bytes.Equal(got, b))
 				complete++
--- a/pkg/oriole/oriolememory/memory.go
+++ b/pkg/oriole/oriolememory/memory.go
@@ -63,6 +63,15 @@
 	return &Pool{size: size, perOwner: max(size/ownerDivisor, maxBody), owners: make(map[string]int64)}
 }
 
+// fieldCost is what a parsed header field takes besides its bytes: its entry in the map, the
+// slice of its values, and its share of the map's free entries; and the same again in the
+// copy that is passed on.
+const fieldCost = 256
+
+// HeaderCost returns the memory in bytes of a header whose fields, of which there are the
+// given number, have the given size together.
+func HeaderCost(fields, size int) int64 { return int64(fields*fieldCost + size) }
+
 // Usage is the state of a pool.
 type Usage struct {
 	Used    int64 `json:"used"`
