Bodies of callers and of peers are bounded together

Cause: callers' connections may hold 3/8 of the memory, and peers 1/8 and a reserve. Each is sound alone; a gateway that dispatches for others meets both. The gauges of one showed 50 MB and 28 MB shortly before its end, which with connections and the process itself is beyond the soft limit of the runtime.

Change: what both hold is bounded together by 3/8 of the memory. Callers may take it alone, so that a single body is served in calm as before; requests of peers of 8 KB at most pass in any case.

TestPeersLeaveWhatCallersHold and TestLedgerLeavesWhatOthersHold test the bound, which is new.

--- a/internal/oriolegateway/gateway.go
+++ b/internal/oriolegateway/gateway.go
@@ -54,6 +54,7 @@
 			client.CloseIdleConns(keep)
 			leaser.CloseIdleConns(keep)
 		},
+		BodyMemory: memory.Bodies,
 		PeerMemory: memory.Peers,
 		LinkMemory: memory.Links,
 	}, logger, oriolerouter.WithClock(clock))
--- a/internal/oriolerouter/clients.go
+++ b/internal/oriolerouter/clients.go
@@ -102,6 +102,8 @@
 // and bytes of its own, so that none keeps out the clients of another.
 func (r *Router) guardServers(callers, readiness, peers, metrics *orioleingress.Server) {
 	limits := newClientLimits(r.settings, descriptorLimit())
+	limits.callers.Shared = r.platform.BodyMemory
+	r.platform.BodyMemory.Raise(limits.callers.Bytes)
 	for _, guarded := range []struct {
 		name   string
 		server *orioleingress.Server
--- a/internal/oriolerouter/router.go
+++ b/internal/oriolerouter/router.go
@@ -72,6 +72,8 @@
 	// that are queued for them; nil sets no bound.
 	PeerMemory *oriolememory.Pool
 	LinkMemory *oriolememory.Pool
+	// BodyMemory bounds what PeerMemory and the connections of callers hold together.
+	BodyMemory *oriolememory.Shared
 }
 
 // Router is a gateway. It implements suture.Service.
--- a/pkg/oriole/orioleclients/ledger.go
+++ b/pkg/oriole/orioleclients/ledger.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
 )
 
 var (
@@ -46,6 +48,8 @@
 	// hold SmallBytes at most.
 	Bytes   int64
 	Reserve int64
+	// Shared bounds what these connections and others hold together.
+	Shared *oriolememory.Shared
 	// StallTimeout is the time without progress after which a connection may be closed
 	// in favor of others.
 	StallTimeout time.Duration
@@ -156,7 +160,7 @@
 		if c.bytes+n > SmallBytes {
 			limit -= l.limits.Reserve
 		}
-		if l.used+n <= limit {
+		if l.used+n <= limit && l.limits.Shared.Take(n) {
 			c.bytes += n
 			l.used += n
 			return nil
@@ -189,9 +193,14 @@
 	}
 	c.ledger.mu.Lock()
 	defer c.ledger.mu.Unlock()
-	n = min(n, c.bytes)
+	c.ledger.give(c, min(n, c.bytes))
+}
+
+// give gives back n of the connection's bytes. l.mu must be held.
+func (l *Ledger) give(c *Conn, n int64) {
 	c.bytes -= n
-	c.ledger.used -= n
+	l.used -= n
+	l.limits.Shared.Give(n)
 }
 
 // Enter records that the connection has entered a phase, which counts as progress. An idle
@@ -205,8 +214,7 @@
 	c.phase, c.progressAt = phase, now
 	if phase == Idle {
 		c.served = true
-		c.ledger.used -= c.bytes
-		c.bytes = 0
+		c.ledger.give(c, c.bytes)
 	}
 }
 
@@ -238,8 +246,8 @@
 	}
 	c.ledger.mu.Lock()
 	defer c.ledger.mu.Unlock()
-	c.ledger.used -= c.bytes
-	c.bytes, c.progressAt = 0, time.Time{}
+	c.ledger.give(c, c.bytes)
+	c.progressAt = time.Time{}
 }
 
 // Restore takes back a connection that was to be closed in favor of others, but on which a
@@ -271,8 +279,7 @@
 	}
 	c.removed = true
 	delete(l.conns, c)
-	l.used -= c.bytes
-	c.bytes = 0
+	l.give(c, c.bytes)
 }
 
 // evict removes a connection that is about to be closed. l.mu must be held.
--- a/pkg/oriole/orioleclients/ledger_test.go
+++ b/pkg/oriole/orioleclients/ledger_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/orioleswitch/orioleswitch/pkg/oriole/orioleclients"
+	"github.com/orioleswitch/orioleswitch/pkg/oriole/oriolememory"
 )
 
 const stall = time.Second
@@ -118,3 +119,25 @@
 		}
 	})
 }
+
+// TestLedgerLeavesWhatOthersHold guards against connections that take memory which requests
+// of peers hold, and against bytes that stay taken when a connection has ended.
+func TestLedgerLeavesWhatOthersHold(t *testing.T) {
+	is := is.New(t)
+	shared := oriolememory.NewShared(1 << 20)
+	l := orioleclients.NewLedger(orioleclients.Limits{Conns: 10, Bytes: 1 << 20, Shared: shared, StallTimeout: stall})
+	is.True(shared.Take(3 << 18))
+	for _, end := range []func(c *orioleclients.Conn){
+		func(c *orioleclients.Conn) { c.Shrink(1 << 18) },
+		func(c *orioleclients.Conn) { c.Enter(start, orioleclients.Idle) },
+		func(c *orioleclients.Conn) { c.Finish() },
+		func(c *orioleclients.Conn) { c.Remove() },
+	} {
+		c := l.Add(start, func() {})
+		is.Equal(c.Grow(start, 1<<19), orioleclients.ErrFull)
+		is.NoErr(c.Grow(start, 1<<18))
+		end(c)
+	}
+	shared.Give(3 << 18)
+	is.True(shared.Take(1 << 20))
+}
--- a/pkg/oriole/oriolememory/memory.go
+++ b/pkg/oriole/oriolememory/memory.go
@@ -5,6 +5,7 @@
 import (
 	"io"
 	"sync"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -25,12 +26,58 @@
 	// Bodies of own callers have a bound of their own, and the runtime needs as much
 	// again until garbage is collected.
 	poolDivisor = 8
+	// bodiesNumerator and bodiesDenominator give what callers and peers may hold together
+	// as a fraction of the memory of the VM: as much as callers alone.
+	bodiesNumerator, bodiesDenominator = 3, 8
 	// ownerDivisor gives the share of a pool that one owner may take.
 	ownerDivisor = 3
 )
 
+// Shared bounds what several holders of memory hold together, each of which has a bound of
+// its own. A nil value sets no bound.
+type Shared struct {
+	size atomic.Int64
+	used atomic.Int64
+}
+
+// NewShared returns a bound of size bytes.
+func NewShared(size int64) *Shared {
+	s := &Shared{}
+	s.size.Store(size)
+	return s
+}
+
+// Raise raises the bound to size bytes, if it is lower.
+func (s *Shared) Raise(size int64) {
+	if s != nil {
+		s.size.Store(max(s.size.Load(), size))
+	}
+}
+
+// Take takes n bytes, or reports false if they exceed the bound.
+func (s *Shared) Take(n int64) bool {
+	if s != nil && s.used.Add(n) > s.size.Load() {
+		s.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+// Force takes n bytes although they may exceed the bound.
+func (s *Shared) Force(n int64) {
+	if s != nil {
+		s.used.Add(n)
+	}
+}
+
+// Give gives n bytes back.
+func (s *Shared) Give(n int64) { s.Force(-n) }
+
 // Budget divides the memory of a VM.
 type Budget struct {
+	// Bodies bounds what Peers and the connections of callers hold together: a gateway
+	// that dispatches for others has both.
+	Bodies *Shared
 	// Responses bounds the responses that are read from upstreams, by upstream.
 	Responses *Pool
 	// Peers bounds the bodies of requests and responses that come from peers, by peer.
@@ -44,12 +91,18 @@
 // largest body in bytes, of which each owner may hold at least one.
 func New(memory, maxBody int64) *Budget {
 	size := memory / poolDivisor
-	return &Budget{Responses: NewPool(size, maxBody), Peers: NewPool(size, maxBody), Links: NewPool(size, maxBody)}
+	b := &Budget{
+		Bodies:    NewShared(memory * bodiesNumerator / bodiesDenominator),
+		Responses: NewPool(size, maxBody), Peers: NewPool(size, maxBody), Links: NewPool(size, maxBody),
+	}
+	b.Peers.shared = b.Bodies
+	return b
 }
 
 // Pool bounds the bytes that are held together.
 type Pool struct {
 	size, perOwner int64
+	shared         *Shared
 
 	mu      sync.Mutex
 	used    int64
@@ -118,7 +171,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.mayTake(h, n, free) {
+	switch {
+	case h.n+n <= min(free, usualBytes):
+		p.shared.Force(n)
+	case !p.mayTake(h, n, free) || !p.shared.Take(n):
 		p.refused++
 		return ErrFull
 	}
@@ -131,10 +187,7 @@
 // mayTake reports whether the hold may take n more bytes, where it may have free bytes from
 // the reserve. p.mu must be held.
 func (p *Pool) mayTake(h *Hold, n, free int64) bool {
-	switch total := h.n + n; {
-	case total <= min(free, usualBytes):
-		return true
-	case total <= free && p.used+n <= p.size+p.size/reserveDivisor:
+	if h.n+n <= free && p.used+n <= p.size+p.size/reserveDivisor {
 		return true
 	}
 	return p.used+n <= p.size && p.owners[h.owner]+n <= p.perOwner
@@ -152,6 +205,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.used -= n
+	p.shared.Give(n)
 	if p.owners[h.owner] -= n; p.owners[h.owner] == 0 {
 		delete(p.owners, h.owner)
 	}
--- a/pkg/oriole/oriolememory/memory_test.go
+++ b/pkg/oriole/oriolememory/memory_test.go
@@ -99,6 +99,27 @@
 	is.Equal(h.Grow(1), oriolememory.ErrFull)
 }
 
+// TestPeersLeaveWhatCallersHold guards against a gateway that dispatches for others and
+// exceeds its memory because callers and peers each take all that is theirs.
+func TestPeersLeaveWhatCallersHold(t *testing.T) {
+	is := is.New(t)
+	b := oriolememory.New(144<<20, 8<<20)
+	callers := int64(0)
+	for b.Bodies.Take(1 << 20) {
+		callers += 1 << 20
+	}
+	is.Equal(callers, int64(54<<20))
+	large, release := b.Peers.Hold("a")
+	is.Equal(large.Grow(64<<10), oriolememory.ErrFull)
+	is.NoErr(large.Grow(8 << 10)) // a request of the usual size passes
+	is.True(!b.Bodies.Take(1))    // and counts
+	release()
+	b.Bodies.Give(1 << 20)
+	is.NoErr(large.Grow(64 << 10))
+	release()
+	is.True(b.Bodies.Take(1 << 20))
+}
+
 // TestReaderTakesWhatItReads checks that a read fails once its bytes exceed the bound, and
 // that they are held until then.
 func TestReaderTakesWhatItReads(t *testing.T) {
