An unheard leader that drains is replaced at once

Found by reading: a gateway that has learned of a write of a leader it does not hear reads the assignment once more before it claims, 1.5 s after that write. It did so also where the leader drains, resigns or is no longer listed, which needs no such wait.

TestUnheardLeaderThatDrainsIsReplacedAtOnce failed before (no claim).

--- a/pkg/oriole/orioleassign/leadership.go
+++ b/pkg/oriole/orioleassign/leadership.go
@@ -231,13 +231,17 @@
 	if rank < 0 || now.Sub(m.leaderGoneSince) < delay || m.nextWrite.After(now) {
 		return
 	}
-	if !m.versionExact || m.exactReadAt.Before(m.unheardLeaderWroteAt.Add(leaderWriteTimeout)) {
+	if !m.versionExact || (reason == reasonWritesEnded && m.exactReadAt.Before(m.unheardLeaderWroteAt.Add(leaderWriteTimeout))) {
 		m.startRead(now, false)
 		return
 	}
 	m.claimLeadership(now, reason)
 }
 
+// reasonWritesEnded is the reason to replace a leader that was not alive, but wrote to the
+// store until leaderWriteTimeout ago.
+const reasonWritesEnded = "leader not alive, and wrote no more to the store"
+
 // leaderGone returns why the leader is to be replaced, or "" if it is not: it is neither
 // alive nor has written to the store recently, for example.
 func (m *Machine) leaderGone(now time.Time) (reason string) {
@@ -259,7 +263,7 @@
 	case m.unheardLeaderWroteAt.IsZero():
 		return "leader not alive"
 	default:
-		return "leader not alive, and wrote no more to the store"
+		return reasonWritesEnded
 	}
 	return ""
 }
--- a/pkg/oriole/orioleassign/unheard_test.go
+++ b/pkg/oriole/orioleassign/unheard_test.go
@@ -1,10 +1,13 @@
 package orioleassign
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/orioleswitch/orioleswitch/pkg/oriole"
 )
 
 // cutGatewaysFrom cuts the links between the two groups of gateways. All reach the store and
@@ -92,3 +95,31 @@
 	is.True(unowned <= bound)
 	is.True(leaders <= uint64(len(s.gateways)))
 }
+
+// TestUnheardLeaderThatDrainsIsReplacedAtOnce guards against waiting for further writes of a
+// leader that says it leaves.
+func TestUnheardLeaderThatDrainsIsReplacedAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newSettledSim(t)
+	leader, now := s.leader(), s.clock.Now()
+	i := slices.IndexFunc(s.gateways, func(g *simGateway) bool { return g != leader })
+	m := s.gateways[i].machine
+	state := oriole.NewClusterState()
+	state.DirectoryLoaded = true
+	state.Gateways = map[oriole.GatewayID]oriole.Member{m.cfg.Self: {ID: m.cfg.Self}, leader.id: {ID: leader.id}}
+	state.Alive[m.cfg.Self] = true
+	m.SetClusterState(now, state)
+	written := m.current.Clone()
+	written.Seq++
+	version := m.version.Next()
+	m.ReadDone(now, now, written, version, false, nil)
+	is.True(m.unheardLeaderActs(now))
+	m.TakeEffects() // it reads the assignment again
+	m.ReadDone(now, now, written, version, false, nil)
+
+	draining := *state
+	draining.Gateways = map[oriole.GatewayID]oriole.Member{m.cfg.Self: {ID: m.cfg.Self}, leader.id: {ID: leader.id, Draining: true}}
+	m.SetClusterState(now, &draining)
+	claims := slices.ContainsFunc(m.TakeEffects(), func(e Effect) bool { return e.Write != nil && e.Write.Assignment.Leader == m.cfg.Self })
+	is.True(claims)
+}
