A leader is not judged before it can be heard

Change: the leader's silence counts only once its entry in the directory has been known for 1.5 s.

TestLeaderIsNotJudgedBeforeItCanBeHeard failed before.

--- a/pkg/oriole/orioleassign/leadership.go
+++ b/pkg/oriole/orioleassign/leadership.go
@@ -259,7 +259,7 @@
 		return "leader draining"
 	case m.state.Alive[m.current.Leader]:
 		m.unheardLeaderWroteAt = time.Time{}
-	case m.unheardLeaderActs(now):
+	case m.unheardLeaderActs(now), now.Sub(m.listedAt[m.current.Leader]) < hearingDelay:
 	case m.unheardLeaderWroteAt.IsZero():
 		return "leader not alive"
 	default:
--- a/pkg/oriole/orioleassign/machine.go
+++ b/pkg/oriole/orioleassign/machine.go
@@ -39,6 +39,10 @@
 	// startupDelay is how long a gateway that has started waits to hear from
 	// the others before it may claim the leadership.
 	startupDelay = 500 * time.Millisecond
+	// hearingDelay is how long a gateway must have known the leader's entry in the directory
+	// before it takes the leader's silence for its end: it connects to the leader only then.
+	// It exceeds the time after which the failure detector counts a gateway as lost.
+	hearingDelay = 1500 * time.Millisecond
 	// candidateDelay is the time that a candidate for leadership waits for each
 	// candidate ranked before it. It covers a read and a write at usual store
 	// latency.
@@ -192,7 +196,9 @@
 	// lastTick is the time of the last Tick, and stalledAt when one last came late.
 	lastTick  time.Time
 	stalledAt time.Time
-	// unlistedAt is when a gateway was last removed from the directory.
+	// listedAt is since when this gateway has known each gateway of the directory, and
+	// unlistedAt when a gateway was last removed from it.
+	listedAt   map[oriole.GatewayID]time.Time
 	unlistedAt map[oriole.GatewayID]time.Time
 
 	leading bool
@@ -337,6 +343,7 @@
 		calls:          make(map[CallID]call),
 		lastGrantDone:  make(map[oriole.ServerID]time.Time),
 		endedTermCalls: make(map[CallID]call),
+		listedAt:       make(map[oriole.GatewayID]time.Time),
 		unlistedAt:     make(map[oriole.GatewayID]time.Time),
 		unchangedPeers: make(map[oriole.GatewayID]bool),
 		stoppedPeers:   make(map[oriole.GatewayID]bool),
@@ -383,7 +390,7 @@
 		m.upstreamsChanged = now
 		m.nextPlan = now
 	}
-	m.recordUnlisted(now, state)
+	m.recordListed(now, state)
 	m.state = state
 	m.repairDue = true
 	m.maxRequestDuration = maxRequestDuration(state.Config)
--- a/pkg/oriole/orioleassign/restore.go
+++ b/pkg/oriole/orioleassign/restore.go
@@ -239,18 +239,28 @@
 	return listed
 }
 
-// recordUnlisted records the gateways that the new state no longer lists.
-func (m *Machine) recordUnlisted(now time.Time, next *oriole.ClusterState) {
+// recordListed records the gateways that the new state lists and the one before did not, and
+// those that it no longer lists.
+func (m *Machine) recordListed(now time.Time, next *oriole.ClusterState) {
 	for g, at := range m.unlistedAt {
 		if _, listed := next.Gateways[g]; listed || now.Sub(at) > 2*m.cfg.LeaderLease {
 			delete(m.unlistedAt, g)
 		}
 	}
 	for g := range m.state.Gateways {
-		if _, listed := next.Gateways[g]; !listed && g != m.cfg.Self {
+		if _, listed := next.Gateways[g]; listed {
+			continue
+		}
+		delete(m.listedAt, g)
+		if g != m.cfg.Self {
 			m.unlistedAt[g] = now
 		}
 	}
+	for g := range next.Gateways {
+		if _, listed := m.state.Gateways[g]; !listed {
+			m.listedAt[g] = now
+		}
+	}
 }
 
 // recordStall records a time without ticks, in which gateways may have come and
--- a/pkg/oriole/orioleassign/unheard_test.go
+++ b/pkg/oriole/orioleassign/unheard_test.go
@@ -123,3 +123,37 @@
 	claims := slices.ContainsFunc(m.TakeEffects(), func(e Effect) bool { return e.Write != nil && e.Write.Assignment.Leader == m.cfg.Self })
 	is.True(claims)
 }
+
+// TestLeaderIsNotJudgedBeforeItCanBeHeard guards against a gateway that takes over from a
+// leader which lives as soon as it has read the directory, before it has connected to
+// anyone: while the store comes back from a copy, all keys wait for seconds then.
+func TestLeaderIsNotJudgedBeforeItCanBeHeard(t *testing.T) {
+	is := is.New(t)
+	s := newSettledSim(t)
+	leader, now := s.leader(), s.clock.Now()
+	cfg := simConfig
+	cfg.Self = "started.1"
+	m := New(cfg)
+	step := func(span time.Duration, event func()) (claims bool) {
+		for end := now.Add(span); now.Before(end) && !claims; now = now.Add(50 * time.Millisecond) {
+			event()
+			m.Tick(now)
+			for _, e := range m.TakeEffects() {
+				claims = claims || e.Write != nil
+				if e.Read != nil {
+					m.ReadDone(now, now, leader.machine.current.Clone(), leader.machine.version, e.Read.AllowStale, nil)
+				}
+			}
+		}
+		return claims
+	}
+	// The directory can't be read at first.
+	is.True(!step(2*startupDelay, func() { m.SetClusterState(now, oriole.NewClusterState()) }))
+	state := oriole.NewClusterState()
+	state.DirectoryLoaded = true
+	state.Gateways = map[oriole.GatewayID]oriole.Member{cfg.Self: {ID: cfg.Self}, leader.id: {ID: leader.id}}
+	state.Alive[cfg.Self] = true
+	list := func() { m.SetClusterState(now, state) }
+	is.True(!step(hearingDelay-100*time.Millisecond, list))
+	is.True(step(time.Second, list)) // a leader that is never heard is replaced
+}
